--- /dev/null
+++ b/src/blocks/mod.rs
@@ -0,0 +1,172 @@
+//! Machine blocks: the leader leases disjoint sets of machines to the live controllers; each
+//! proposes inside its own. Also what controllers say to each other.
+
+use crate::placement::{Counts, Learned, MachineView, Proposal, TaskAsk};
+use crate::types::{Fence, JobId, MachineId, NodeName, Span, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Raised when messages change; a node drops what it doesn't understand.
+pub const VERSION: u16 = 1;
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Envelope {
+    pub version: u16,
+    pub from: NodeName,
+    pub message: PeerMessage,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// "I am there", and what I can reach.
+    Ping { state_ok: bool, fence_seen: Fence, counts_at: (Fence, u64) },
+    /// From the leader: it leads, how jobs stand, and what was learned of machines.
+    Beat { fence: Fence, jobs: Vec<(JobId, u32, u32)>, learned_from: u64, learned: Vec<Learned> },
+    /// From the leader: the whole table of counts, for a controller that missed some.
+    Table { fence: Fence, at: u64, counts: Counts },
+    /// From the leader: a round's work inside the receiver's block.
+    Offer { fence: Fence, block: u64, round: u64, machines: Vec<MachineView>, asks: Vec<TaskAsk> },
+    /// The controller's answer.
+    Proposals { fence: Fence, block: u64, round: u64, proposals: Vec<Proposal> },
+}
+
+pub fn encode(from: &NodeName, message: PeerMessage) -> Vec<u8> {
+    let envelope = Envelope { version: VERSION, from: from.clone(), message };
+    postcard::to_stdvec(&envelope).unwrap_or_default()
+}
+
+pub fn decode(bytes: &[u8]) -> Option<Envelope> {
+    postcard::from_bytes::<Envelope>(bytes).ok().filter(|e| e.version == VERSION)
+}
+
+#[derive(Debug, Clone)]
+pub struct Block {
+    pub id: u64,
+    pub machines: BTreeSet<MachineId>,
+    pub until: Time,
+}
+
+/// The leader's division of the fleet.
+#[derive(Debug, Default)]
+pub struct Blocks {
+    blocks: BTreeMap<NodeName, Block>,
+    next_id: u64,
+}
+
+impl Blocks {
+    pub fn get(&self, node: &NodeName) -> Option<&Block> {
+        self.blocks.get(node)
+    }
+
+    pub fn owner(&self, machine: &MachineId) -> Option<&NodeName> {
+        self.blocks.iter().find(|(_, b)| b.machines.contains(machine)).map(|(n, _)| n)
+    }
+
+    /// Whether the division no longer suits: a lease is over, a controller came or went, or
+    /// there are machines in no block.
+    pub fn due(&self, live: &BTreeSet<NodeName>, now: Time) -> bool {
+        self.blocks.len() != live.len()
+            || self.blocks.iter().any(|(n, b)| !live.contains(n) || now >= b.until)
+    }
+
+    /// Divides `machines` anew, by the work waiting with each live controller. Machines stay
+    /// where they are as far as shares allow, so that a controller's rounds meet known ones.
+    pub fn cut(
+        &mut self,
+        machines: &BTreeSet<MachineId>,
+        work: &BTreeMap<NodeName, u32>,
+        lease: Span,
+        now: Time,
+    ) {
+        let total: u32 = work.values().map(|w| w + 1).sum();
+        let mut free = machines.clone();
+        let mut new: BTreeMap<NodeName, Block> = BTreeMap::new();
+        for (node, waiting) in work {
+            let share =
+                (machines.len() as f64 * f64::from(waiting + 1) / f64::from(total.max(1))).ceil() as usize;
+            let kept: BTreeSet<MachineId> = self
+                .blocks
+                .get(node)
+                .map(|b| b.machines.intersection(&free).take(share).cloned().collect())
+                .unwrap_or_default();
+            free = free.difference(&kept).cloned().collect();
+            self.next_id += 1;
+            new.insert(node.clone(), Block { id: self.next_id, machines: kept, until: now + lease });
+        }
+        for machine in free {
+            let wants = |n: &NodeName, b: &Block| {
+                let waiting = work.get(n).copied().unwrap_or(0) + 1;
+                (b.machines.len() as u64 * 1000) / u64::from(waiting)
+            };
+            let Some(node) = new.iter().min_by_key(|(n, b)| wants(n, b)).map(|(n, _)| n.clone()) else {
+                break;
+            };
+            if let Some(block) = new.get_mut(&node) {
+                block.machines.insert(machine);
+            }
+        }
+        self.blocks = new;
+    }
+
+    /// Adds a machine that came up to the smallest block.
+    pub fn add(&mut self, machine: &MachineId) {
+        if self.owner(machine).is_none()
+            && let Some(block) = self.blocks.values_mut().min_by_key(|b| b.machines.len())
+        {
+            block.machines.insert(machine.clone());
+        }
+    }
+
+    pub fn remove(&mut self, machine: &MachineId) {
+        for block in self.blocks.values_mut() {
+            block.machines.remove(machine);
+        }
+    }
+
+    /// Moves machines to `node`'s block: for work that fits no block as they are cut, such as a
+    /// gang larger than any of them.
+    pub fn give(&mut self, node: &NodeName, machines: impl IntoIterator<Item = MachineId>) {
+        for machine in machines {
+            self.remove(&machine);
+            if let Some(block) = self.blocks.get_mut(node) {
+                block.machines.insert(machine);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn blocks_are_disjoint_cover_all_and_follow_the_work() {
+        let machines: BTreeSet<MachineId> = (0..20).map(|i| format!("m-{i}").as_str().into()).collect();
+        let nodes = ["a", "b", "c"].map(NodeName::from);
+        let mut blocks = Blocks::default();
+        let work: BTreeMap<NodeName, u32> = nodes.iter().cloned().zip([18, 0, 0]).collect();
+        blocks.cut(&machines, &work, Span::secs(30.0), Time::from_ms(0));
+        let sizes: Vec<usize> = nodes.iter().map(|n| blocks.get(n).map_or(0, |b| b.machines.len())).collect();
+        assert_eq!(sizes.iter().sum::<usize>(), 20);
+        assert!(sizes[0] >= 16, "{sizes:?}");
+        let live: BTreeSet<NodeName> = nodes.iter().cloned().collect();
+        assert!(!blocks.due(&live, Time::from_ms(29_999)) && blocks.due(&live, Time::from_ms(30_000)));
+        let live: BTreeSet<NodeName> = nodes[..2].iter().cloned().collect();
+        assert!(blocks.due(&live, Time::from_ms(1)), "cut anew as soon as a controller is away");
+        blocks.give(&nodes[1], machines.iter().take(7).cloned());
+        let all: usize = nodes.iter().map(|n| blocks.get(n).map_or(0, |b| b.machines.len())).sum();
+        assert_eq!(all, 20, "giving keeps blocks disjoint");
+    }
+
+    #[test]
+    fn messages_survive_the_wire_and_garbage_does_not() {
+        let bytes = encode(
+            &"n0".into(),
+            PeerMessage::Ping { state_ok: true, fence_seen: Fence(4), counts_at: (Fence(4), 9) },
+        );
+        let back = decode(&bytes).expect("readable");
+        assert!(matches!(back.message, PeerMessage::Ping { fence_seen: Fence(4), .. }));
+        assert!(decode(&bytes[..3]).is_none());
+        assert!(decode(&[0xff; 40]).is_none());
+    }
+}
--- /dev/null
+++ b/src/gangs/mod.rs
@@ -0,0 +1,46 @@
+//! Gangs: all tasks of an attempt run at the same time or none does.
+
+use crate::jobs::{JobSpec, Run};
+use crate::types::{Attempt, Fence};
+
+/// Numbers for attempts, unique over all leaders: the fence is in the upper bits, so a number is
+/// never used again even though the counter lives in memory only.
+#[derive(Debug)]
+pub struct Attempts {
+    next: u64,
+}
+
+const COUNTER_BITS: u32 = 20;
+
+impl Attempts {
+    pub fn new(fence: Fence) -> Self {
+        Self { next: fence.0 << COUNTER_BITS }
+    }
+    pub fn next(&mut self) -> Attempt {
+        self.next += 1;
+        Attempt(self.next)
+    }
+}
+
+/// Whether a gang's attempt can't go on: some of its tasks are placed, others are gone. The rest
+/// must leave before the next attempt.
+pub fn broken(run: &Run) -> bool {
+    run.is_gang() && !run.placed.is_empty() && !run.all_done() && run.waiting_count() > 0
+}
+
+/// The grace an orderly stop needs for a save: 0 where nothing is ever saved.
+pub fn save_grace_s(spec: &JobSpec) -> f64 {
+    if spec.checkpoint.0 == 0 { 0.0 } else { spec.save.as_secs() + 1.0 }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn attempts_of_a_later_leader_are_later() {
+        let mut a = Attempts::new(Fence(5));
+        let (x, y) = (a.next(), a.next());
+        assert!(x < y && y < Attempts::new(Fence(6)).next());
+    }
+}
--- /dev/null
+++ b/src/jobs/desk.rs
@@ -0,0 +1,93 @@
+//! The desk: users' requests that wait for the state service.
+
+use super::JobSpec;
+use crate::types::{JobId, OpId, Span, Time};
+
+/// What a user asked for.
+#[derive(Debug, Clone)]
+pub enum Ask {
+    /// A submission; `Err` says why it can't be taken, should its id prove unknown.
+    Submit {
+        spec: Result<Box<JobSpec>, Refusal>,
+    },
+    Status,
+    Withdraw,
+}
+
+/// A refusal that stands only if the job isn't known already.
+#[derive(Debug, Clone)]
+pub struct Refusal {
+    pub status: u16,
+    pub why: String,
+}
+
+#[derive(Debug, Clone)]
+pub struct Waiting {
+    pub request: OpId,
+    pub id: JobId,
+    pub ask: Ask,
+    pub since: Time,
+    pub tries: u32,
+}
+
+/// Requests that wait for the next read of the state service, and those that the read now under
+/// way will answer. A request never joins a read that began before it: what that read saw may be
+/// older than an answer another node has already given.
+#[derive(Debug, Default)]
+pub struct Desk {
+    next: Vec<Waiting>,
+    reading: Vec<Waiting>,
+}
+
+impl Desk {
+    pub fn len(&self) -> usize {
+        self.next.len() + self.reading.len()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+    pub fn wait(&mut self, w: Waiting) {
+        self.next.push(w);
+    }
+    pub fn wants_read(&self) -> bool {
+        !self.next.is_empty() && self.reading.is_empty()
+    }
+    pub fn read_begins(&mut self) {
+        self.reading = std::mem::take(&mut self.next);
+    }
+    pub fn read_ends(&mut self) -> Vec<Waiting> {
+        std::mem::take(&mut self.reading)
+    }
+    /// Takes out those that waited too long: they are told at once to come back.
+    pub fn overdue(&mut self, now: Time, patience: Span) -> Vec<Waiting> {
+        let mut out: Vec<Waiting> = self.next.extract_if(.., |w| now.since(w.since) >= patience).collect();
+        out.extend(self.reading.extract_if(.., |w| now.since(w.since) >= patience));
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_never_joins_a_read_begun_before_it() {
+        let mut desk = Desk::default();
+        let w = |n, t| Waiting {
+            request: OpId(n),
+            id: "req-1".into(),
+            ask: Ask::Status,
+            since: Time::from_ms(t),
+            tries: 0,
+        };
+        desk.wait(w(1, 0));
+        assert!(desk.wants_read());
+        desk.read_begins();
+        desk.wait(w(2, 5));
+        assert!(!desk.wants_read());
+        assert_eq!(desk.read_ends().iter().map(|w| w.request).collect::<Vec<_>>(), [OpId(1)]);
+        assert!(desk.wants_read());
+        assert_eq!(desk.overdue(Time::from_ms(1505), Span::ms(1500)).len(), 1);
+        assert!(desk.is_empty());
+    }
+}
--- /dev/null
+++ b/src/jobs/mod.rs
@@ -0,0 +1,290 @@
+//! Jobs: what users asked for, the durable record of each, and every node's mirror of them.
+
+mod desk;
+mod run;
+
+pub use desk::{Ask, Desk, Refusal, Waiting};
+pub use run::{Bits, CHUNK, Run};
+
+use crate::settings::Settings;
+use crate::types::{Image, JobId, Kind, NodeName, Room, Span, Stamp, TeamName, TypeName, Wall, Zone};
+use crate::wire::cloud::MachineType;
+use crate::wire::state::{Event, Pair};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Prefix of job records in the state service.
+pub const PREFIX: &str = "j/";
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Shape {
+    Array,
+    Gang,
+    Service,
+}
+
+/// Higher is more urgent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Priority {
+    Low,
+    Normal,
+    High,
+    Production,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    Pending,
+    Running,
+    Done,
+    Withdrawn,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub kind: Kind,
+    pub team: TeamName,
+    pub shape: Shape,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub room: Room,
+    pub image: Image,
+    pub image_gb: f64,
+    pub types: Option<Vec<TypeName>>,
+    pub zone: Option<Zone>,
+    pub together: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub estimate: Span,
+    pub checkpoint: Span,
+    pub save: Span,
+    pub deadline: Option<Span>,
+}
+
+/// Why a job can never run.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum Never {
+    #[error("owner: there is no team `{0}`; see facts.teams in the platform's settings")]
+    UnknownTeam(TeamName),
+    #[error("a task fits no allowed machine type; ask for less or allow other flavors or regions")]
+    FitsNowhere,
+    #[error("the job needs more than the limit of its team `{0}`; ask for less")]
+    OverLimit(TeamName),
+}
+
+impl JobSpec {
+    pub fn type_allowed(&self, name: &TypeName) -> bool {
+        self.types.as_ref().is_none_or(|t| t.contains(name))
+    }
+
+    pub fn zone_allowed(&self, zone: &Zone) -> bool {
+        self.zone.as_ref().is_none_or(|z| z == zone)
+    }
+
+    /// How many of the job's tasks may be in one zone.
+    pub fn zone_cap(&self) -> u32 {
+        if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
+    }
+
+    pub fn can_run(&self, settings: &Settings, types: &[MachineType]) -> Result<(), Never> {
+        let team = settings.teams.get(&self.team).ok_or_else(|| Never::UnknownTeam(self.team.clone()))?;
+        let fits = types.iter().any(|t| {
+            self.type_allowed(&t.name)
+                && self.room.fits_in(&t.room())
+                && self.zone.as_ref().is_none_or(|z| t.zones.is_empty() || t.zones.contains(z))
+        });
+        if !fits {
+            return Err(Never::FitsNowhere);
+        }
+        let together = if self.shape == Shape::Array { 1.0 } else { f64::from(self.tasks) };
+        let over = |max: Option<f64>, each: f64| max.is_some_and(|m| each * together > m + 1e-6);
+        if over(team.max_gpus, self.room.gpus) || over(team.max_cpus, self.room.cpus) {
+            return Err(Never::OverLimit(self.team.clone()));
+        }
+        Ok(())
+    }
+}
+
+/// A job that may still run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OpenJob {
+    pub spec: JobSpec,
+    pub submitted: Wall,
+    /// The node that accepted it and whose controller places it, while that node is there.
+    pub home: NodeName,
+}
+
+/// The durable record of a job. A terminal job shrinks to its verdict, and never changes again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Record {
+    Open(Arc<OpenJob>),
+    Done,
+    Withdrawn,
+}
+
+impl Record {
+    pub fn to_value(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+    pub fn is_open(&self) -> bool {
+        matches!(self, Record::Open(_))
+    }
+    pub fn open(&self) -> Option<&Arc<OpenJob>> {
+        match self {
+            Record::Open(job) => Some(job),
+            _ => None,
+        }
+    }
+    /// The final phase, if the job has one.
+    pub fn terminal(&self) -> Option<Phase> {
+        match self {
+            Record::Open(_) => None,
+            Record::Done => Some(Phase::Done),
+            Record::Withdrawn => Some(Phase::Withdrawn),
+        }
+    }
+}
+
+pub fn key(id: &JobId) -> String {
+    format!("{PREFIX}{id}")
+}
+
+#[derive(Debug, Clone)]
+pub struct Known {
+    pub stamp: Stamp,
+    pub record: Record,
+}
+
+/// This node's copy of all job records, as of `epoch`.
+///
+/// A watch from `epoch` that returns at once brings it up to date in one request, so an answer
+/// to any number of waiting users costs one read begun after their requests.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    jobs: BTreeMap<JobId, Known>,
+    /// All changes up to this revision are in `jobs`; `None` until the first full read is over.
+    epoch: Option<u64>,
+    /// Ids whose records changed since the last `take_changed`.
+    changed: Vec<JobId>,
+}
+
+impl Mirror {
+    pub fn get(&self, id: &JobId) -> Option<&Known> {
+        self.jobs.get(id)
+    }
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+    pub fn iter(&self) -> impl Iterator<Item = (&JobId, &Known)> {
+        self.jobs.iter()
+    }
+    pub fn epoch(&self) -> Option<u64> {
+        self.epoch
+    }
+    pub fn forget_epoch(&mut self) {
+        self.epoch = None;
+    }
+    pub fn reach(&mut self, epoch: u64) {
+        if self.epoch.is_none_or(|e| e < epoch) {
+            self.epoch = Some(epoch);
+        }
+    }
+    pub fn take_changed(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Takes in a record read or written; older ones than the known one are ignored.
+    pub fn learn(&mut self, id: JobId, stamp: Stamp, record: Record) {
+        match self.jobs.get(&id) {
+            // A terminal verdict is final: no late answer may reopen it.
+            Some(known) if known.stamp >= stamp || !known.record.is_open() => {}
+            _ => {
+                self.changed.push(id.clone());
+                self.jobs.insert(id, Known { stamp, record });
+            }
+        }
+    }
+
+    pub fn learn_pair(&mut self, pair: &Pair) {
+        let Some(id) = pair.key.strip_prefix(PREFIX) else { return };
+        match serde_json::from_str(&pair.value) {
+            Ok(record) => self.learn(id.into(), pair.stamp, record),
+            Err(error) => tracing::error!(key = pair.key, %error, "job record can't be read; skipped"),
+        }
+    }
+
+    pub fn learn_events(&mut self, epoch: u64, events: &[Event]) {
+        for event in events {
+            if let Event::Put(pair) = event {
+                self.learn_pair(pair);
+            }
+        }
+        if self.epoch.is_some() {
+            self.reach(epoch);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    pub fn spec() -> JobSpec {
+        JobSpec {
+            kind: "k".into(),
+            team: "red".into(),
+            shape: Shape::Array,
+            priority: Priority::Normal,
+            tasks: 3,
+            room: Room { cpus: 1.0, gpus: 1.0, memory_gb: 1.0 },
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            together: false,
+            spread: true,
+            spot: false,
+            estimate: Span::secs(1.0),
+            checkpoint: Span::ms(0),
+            save: Span::ms(0),
+            deadline: None,
+        }
+    }
+
+    #[test]
+    fn a_verdict_is_final_in_the_mirror() {
+        let mut m = Mirror::default();
+        let id = JobId::from("req-1");
+        let open = Record::Open(Arc::new(OpenJob { spec: spec(), submitted: Wall(1), home: "n0".into() }));
+        m.learn(id.clone(), Stamp(5), open.clone());
+        m.learn(id.clone(), Stamp(7), Record::Done);
+        m.learn(id.clone(), Stamp(6), open.clone());
+        m.learn(id.clone(), Stamp(9), open);
+        assert_eq!(m.get(&id).map(|k| k.record.terminal()), Some(Some(Phase::Done)));
+    }
+
+    #[test]
+    fn limits_count_one_task_of_an_array_and_all_of_the_rest() {
+        let s = crate::settings::parse(("p", crate::settings::tests::SAMPLE), None).expect("valid");
+        let types: Vec<MachineType> = serde_json::from_str(
+            r#"[{"name":"t","vcpus":8,"accelerators":2,"memory_gb":8,"hourly":1,"regions":["z0"]}]"#,
+        )
+        .expect("valid");
+        let mut j = spec();
+        j.tasks = 13;
+        assert_eq!(j.can_run(&s, &types), Ok(()));
+        j.shape = Shape::Gang;
+        assert_eq!(j.can_run(&s, &types), Err(Never::OverLimit("red".into())));
+        j.tasks = 12;
+        assert_eq!(j.can_run(&s, &types), Ok(()));
+        j.zone = Some("z1".into());
+        assert_eq!(j.can_run(&s, &types), Err(Never::FitsNowhere));
+        j.team = "none".into();
+        assert_eq!(j.can_run(&s, &types), Err(Never::UnknownTeam("none".into())));
+    }
+}
--- /dev/null
+++ b/src/jobs/run.rs
@@ -0,0 +1,139 @@
+//! A job as its leader sees it: which tasks are done, which are placed, which wait.
+
+use super::{OpenJob, Shape};
+use crate::types::{Attempt, MachineId, NodeName, Time};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Tasks kept in one progress key: 64 words of JSON, well below any value limit.
+pub const CHUNK: u32 = 4096;
+
+/// A set of task indices.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Bits {
+    words: Vec<u64>,
+    count: u32,
+}
+
+impl Bits {
+    pub fn has(&self, i: u32) -> bool {
+        self.words.get(i as usize / 64).is_some_and(|w| w >> (i % 64) & 1 == 1)
+    }
+    /// Adds `i`; false if it was there.
+    pub fn add(&mut self, i: u32) -> bool {
+        let word = i as usize / 64;
+        if self.words.len() <= word {
+            self.words.resize(word + 1, 0);
+        }
+        let new = self.words[word] >> (i % 64) & 1 == 0;
+        self.words[word] |= 1 << (i % 64);
+        self.count += u32::from(new);
+        new
+    }
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+    /// The words of chunk `n` as a JSON value.
+    pub fn chunk_value(&self, n: u32) -> String {
+        let per = CHUNK as usize / 64;
+        let from = (n as usize * per).min(self.words.len());
+        let to = (from + per).min(self.words.len());
+        serde_json::to_string(&self.words[from..to]).unwrap_or_default()
+    }
+    /// Adds the words of chunk `n`.
+    pub fn add_chunk(&mut self, n: u32, value: &str) -> Result<(), serde_json::Error> {
+        let words: Vec<u64> = serde_json::from_str(value)?;
+        for (w, word) in words.into_iter().enumerate().take(CHUNK as usize / 64) {
+            for bit in (0..64).filter(|b| word >> b & 1 == 1) {
+                self.add(n * CHUNK + w as u32 * 64 + bit);
+            }
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub job: Arc<OpenJob>,
+    pub done: Bits,
+    /// Where the ledger has a task that isn't proved gone.
+    pub placed: BTreeMap<u32, MachineId>,
+    /// Tasks in a round now under way.
+    pub offered: u32,
+    /// Whose controller places it now.
+    pub home: NodeName,
+    /// Room version at which placing failed last; nothing has changed until it moves on.
+    pub tried: u64,
+    pub not_before: Time,
+    pub attempt: Option<Attempt>,
+    /// Failures in a row that speak of the job as much as of its machines.
+    pub errors: u32,
+    /// Why it waits, for operators.
+    pub why: &'static str,
+    /// First time that all tasks were done, while that waits to be written.
+    pub finishing: bool,
+    /// Lowest index that may still wait; keeps scans of large arrays short.
+    low: u32,
+}
+
+impl Run {
+    pub fn new(job: Arc<OpenJob>) -> Self {
+        Self {
+            home: job.home.clone(),
+            job,
+            done: Bits::default(),
+            placed: BTreeMap::new(),
+            offered: 0,
+            tried: 0,
+            not_before: Time::default(),
+            attempt: None,
+            errors: 0,
+            why: "new",
+            finishing: false,
+            low: 0,
+        }
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.job.spec.shape == Shape::Gang
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.done.count() >= self.job.spec.tasks
+    }
+
+    pub fn waiting_count(&self) -> u32 {
+        let placed_undone = self.placed.keys().filter(|i| !self.done.has(**i)).count() as u32;
+        self.job.spec.tasks - self.done.count() - placed_undone
+    }
+
+    /// Up to `most` tasks that are neither done nor placed.
+    pub fn waiting(&mut self, most: usize) -> Vec<u32> {
+        let tasks = self.job.spec.tasks;
+        while self.low < tasks && self.done.has(self.low) {
+            self.low += 1;
+        }
+        (self.low..tasks).filter(|i| !self.done.has(*i) && !self.placed.contains_key(i)).take(most).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn progress_of_the_largest_array_survives_its_chunks() {
+        let mut bits = Bits::default();
+        for i in (0..100_000).filter(|i| i % 7 != 3) {
+            assert!(bits.add(i));
+            assert!(!bits.add(i));
+        }
+        let mut back = Bits::default();
+        for n in 0..100_000u32.div_ceil(CHUNK) {
+            let value = bits.chunk_value(n);
+            assert!(value.len() < 2048, "fits any value limit, is {}", value.len());
+            back.add_chunk(n, &value).expect("readable");
+        }
+        assert_eq!((back.count(), back.has(3), back.has(99_999)), (bits.count(), false, bits.has(99_999)));
+    }
+}
--- /dev/null
+++ b/src/leader/mod.rs
@@ -0,0 +1,265 @@
+//! Leadership: a key set under a grant, if absent. Its revision is the fence.
+//!
+//! The leader counts its tenure from when it *sent* the last renewal that succeeded, shortened
+//! for clock drift; past that it commits and orders nothing, but may go on answering reports for
+//! a while ("holding") so that workers' leases survive an outage of the state service.
+
+use crate::types::{Fence, NodeName, OpId, Permit, Span, Stamp, Time};
+use crate::wire::state::{Change, Pair, StateReply, StateRequest};
+use serde::{Deserialize, Serialize};
+
+pub const KEY: &str = "leader";
+/// Steady clocks of different machines drift apart by up to 0.05%; twice that is left off.
+const DRIFT: f64 = 0.999;
+/// Extra that a grant's last moment is not used for: the answer's way and a slow step.
+const MARGIN: Span = Span::ms(50);
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct KeyValue {
+    node: NodeName,
+    permit: Permit,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stage {
+    Idle,
+    Looking,
+    Granting {
+        sent: Time,
+    },
+    Taking {
+        permit: Permit,
+        sent: Time,
+    },
+    /// The answer to `Taking` was lost: look whether the key is ours.
+    Checking {
+        permit: Permit,
+        sent: Time,
+    },
+    Leading {
+        permit: Permit,
+        renewing: Option<Time>,
+    },
+}
+
+/// What a reply or a tick led to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Turn {
+    Nothing,
+    Won(Fence),
+    Lost,
+}
+
+#[derive(Debug)]
+pub struct Seat {
+    node: NodeName,
+    life: Span,
+    renew_every: Span,
+    stage: Stage,
+    fence: Fence,
+    valid_until: Time,
+    next_try: Time,
+    op: Option<OpId>,
+}
+
+impl Seat {
+    pub fn new(node: NodeName, life: Span, renew_every: Span) -> Self {
+        Self {
+            node,
+            life,
+            renew_every,
+            stage: Stage::Idle,
+            fence: Fence(0),
+            valid_until: Time::default(),
+            next_try: Time::default(),
+            op: None,
+        }
+    }
+
+    fn tenure_from(&self, sent: Time) -> Time {
+        sent + Span::ms(self.life.times(DRIFT).0.saturating_sub(MARGIN.0))
+    }
+
+    /// Whether this node holds the leader key as far as it knows, validly or only holding on.
+    pub fn leads(&self) -> bool {
+        matches!(self.stage, Stage::Leading { .. })
+    }
+    /// Whether it may commit, order and call the cloud at `now`.
+    pub fn valid(&self, now: Time) -> bool {
+        self.leads() && now < self.valid_until
+    }
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+    pub fn valid_until(&self) -> Time {
+        self.valid_until
+    }
+
+    /// The next request to the state service, if one is due. `quiet`: somebody else leads and
+    /// was heard of lately.
+    pub fn tick(&mut self, now: Time, quiet: bool, jitter: Span) -> Option<StateRequest> {
+        if self.op.is_some() {
+            return None;
+        }
+        match self.stage {
+            Stage::Leading { permit, .. } if now >= self.next_try => {
+                self.stage = Stage::Leading { permit, renewing: Some(now) };
+                self.next_try = now + self.renew_every;
+                Some(StateRequest::Renew { permit })
+            }
+            Stage::Idle if !quiet && now >= self.next_try => {
+                self.next_try = now + Span::ms(500) + jitter;
+                self.stage = Stage::Looking;
+                Some(StateRequest::Get { key: KEY.into() })
+            }
+            Stage::Checking { .. } if now >= self.next_try => {
+                self.next_try = now + Span::ms(200) + jitter;
+                Some(StateRequest::Get { key: KEY.into() })
+            }
+            _ => None,
+        }
+    }
+
+    /// Notes under which id the request given out last was sent.
+    pub fn sent(&mut self, op: OpId) {
+        self.op = Some(op);
+    }
+    pub fn owns(&self, op: OpId) -> bool {
+        self.op == Some(op)
+    }
+
+    /// Takes a reply; may give the next request of the campaign.
+    pub fn reply(&mut self, now: Time, reply: StateReply) -> (Turn, Option<StateRequest>) {
+        self.op = None;
+        match (self.stage, reply) {
+            (Stage::Looking, StateReply::Missing { .. }) => {
+                self.stage = Stage::Granting { sent: now };
+                (Turn::Nothing, Some(StateRequest::Grant { life_ms: self.life.0 }))
+            }
+            (Stage::Granting { sent }, StateReply::Granted(permit)) => {
+                self.stage = Stage::Taking { permit, sent };
+                let value = KeyValue { node: self.node.clone(), permit };
+                let put = Change::Put {
+                    key: KEY.into(),
+                    value: serde_json::to_string(&value).unwrap_or_default(),
+                    permit: Some(permit),
+                };
+                let conditions = vec![(KEY.to_string(), Stamp(0))];
+                (Turn::Nothing, Some(StateRequest::Commit { conditions, changes: vec![put] }))
+            }
+            (Stage::Taking { permit, sent }, StateReply::Committed { epoch }) => {
+                self.win(now, permit, sent, Fence(epoch))
+            }
+            (Stage::Taking { permit, sent }, StateReply::Unknown) => {
+                self.stage = Stage::Checking { permit, sent };
+                (Turn::Nothing, None)
+            }
+            (Stage::Checking { permit, sent }, reply) => match reply {
+                StateReply::Found(pair) if self.is_mine(&pair, permit) => {
+                    self.win(now, permit, sent, Fence(pair.stamp.0))
+                }
+                // Until the grant has surely ended, the lost request may still set the key.
+                StateReply::Refused | StateReply::Unknown if now < self.tenure_from(sent) => {
+                    (Turn::Nothing, None)
+                }
+                _ => {
+                    self.stage = Stage::Idle;
+                    (Turn::Nothing, None)
+                }
+            },
+            (Stage::Leading { permit, renewing }, reply) => match reply {
+                StateReply::Renewed => {
+                    self.valid_until = self.valid_until.max(self.tenure_from(renewing.unwrap_or_default()));
+                    self.stage = Stage::Leading { permit, renewing: None };
+                    (Turn::Nothing, None)
+                }
+                StateReply::NoGrant => {
+                    self.step_down(now);
+                    (Turn::Lost, None)
+                }
+                _ => {
+                    self.next_try = now + Span::ms(250);
+                    (Turn::Nothing, None)
+                }
+            },
+            _ => {
+                self.stage = Stage::Idle;
+                (Turn::Nothing, None)
+            }
+        }
+    }
+
+    fn is_mine(&self, pair: &Pair, permit: Permit) -> bool {
+        serde_json::from_str::<KeyValue>(&pair.value).is_ok_and(|v| v.node == self.node && v.permit == permit)
+    }
+
+    fn win(&mut self, now: Time, permit: Permit, sent: Time, fence: Fence) -> (Turn, Option<StateRequest>) {
+        self.stage = Stage::Leading { permit, renewing: None };
+        self.fence = fence;
+        self.valid_until = self.tenure_from(sent);
+        self.next_try = now;
+        (Turn::Won(fence), None)
+    }
+
+    /// Gives up leadership; it isn't sought again for a moment, so that another node gets it.
+    pub fn step_down(&mut self, now: Time) {
+        self.stage = Stage::Idle;
+        self.valid_until = Time::default();
+        self.next_try = now + Span::ms(500);
+        self.op = None;
+    }
+
+    /// As `step_down`, staying away for `pause`.
+    pub fn shun(&mut self, now: Time, pause: Span) {
+        self.step_down(now);
+        self.next_try = now + pause;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn won() -> Seat {
+        let mut s = Seat::new("n0".into(), Span::ms(4000), Span::ms(1000));
+        let t = Time::from_ms;
+        assert!(s.tick(t(10), true, Span::ms(0)).is_none(), "somebody leads");
+        s.tick(t(10), false, Span::ms(0)).expect("looks");
+        let (_, next) = s.reply(t(20), StateReply::Missing { epoch: 1 });
+        assert!(matches!(next, Some(StateRequest::Grant { .. })));
+        s.reply(t(900), StateReply::Granted(Permit(7)));
+        let (change, _) = s.reply(t(1800), StateReply::Committed { epoch: 41 });
+        assert_eq!(change, Turn::Won(Fence(41)));
+        s
+    }
+
+    #[test]
+    fn tenure_counts_from_when_the_request_was_sent() {
+        let mut s = won();
+        assert!(s.valid(Time::from_ms(3900)));
+        assert!(!s.valid(Time::from_ms(3999)), "granted at 20 at the earliest, for 4 s");
+        s.tick(Time::from_ms(2000), false, Span::ms(0)).expect("renews");
+        s.reply(Time::from_ms(5000), StateReply::Renewed);
+        assert!(s.valid(Time::from_ms(5900)) && !s.valid(Time::from_ms(6000)));
+        assert!(s.leads(), "holding");
+        s.tick(Time::from_ms(6100), false, Span::ms(0)).expect("goes on trying");
+        assert_eq!(s.reply(Time::from_ms(6200), StateReply::NoGrant).0, Turn::Lost);
+        assert!(!s.leads());
+    }
+
+    #[test]
+    fn a_lost_answer_to_the_claim_is_looked_up() {
+        let mut s = Seat::new("n0".into(), Span::ms(4000), Span::ms(1000));
+        s.tick(Time::from_ms(1), false, Span::ms(0));
+        s.reply(Time::from_ms(2), StateReply::Missing { epoch: 1 });
+        s.reply(Time::from_ms(3), StateReply::Granted(Permit(7)));
+        s.reply(Time::from_ms(4), StateReply::Unknown);
+        assert!(!s.leads());
+        s.tick(Time::from_ms(900), false, Span::ms(0)).expect("checks");
+        let theirs = Pair { key: KEY.into(), value: r#"{"node":"n0","permit":6}"#.into(), stamp: Stamp(3) };
+        let mut other = Seat { stage: s.stage, ..Seat::new("n0".into(), Span::ms(4000), Span::ms(1000)) };
+        assert_eq!(other.reply(Time::from_ms(901), StateReply::Found(theirs)).0, Turn::Nothing);
+        let mine = Pair { key: KEY.into(), value: r#"{"node":"n0","permit":7}"#.into(), stamp: Stamp(5) };
+        assert_eq!(s.reply(Time::from_ms(901), StateReply::Found(mine)).0, Turn::Won(Fence(5)));
+    }
+}
--- /dev/null
+++ b/src/ledger/journal.rs
@@ -0,0 +1,201 @@
+//! The leader's commit pipeline: one transaction in flight, every one conditional on the leader
+//! key and on each key's own version.
+//!
+//! A transaction without an answer may still be applied later. The next one for the same keys
+//! has the same conditions, so only one of the two can win; the loser is told which key moved,
+//! reads it, and carries on from there.
+
+use crate::types::{Fence, Stamp};
+use crate::wire::state::Change;
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Debug, Default)]
+struct Doc {
+    stamp: Stamp,
+    /// Wanted value; `None` deletes the key.
+    value: Option<String>,
+    wanted: u64,
+    saved: u64,
+}
+
+/// What one transaction settled: keys, and the version of each that is now durable.
+#[derive(Debug)]
+pub struct Settled {
+    pub keys: Vec<(String, u64)>,
+}
+
+#[derive(Debug)]
+pub struct Batch {
+    pub conditions: Vec<(String, Stamp)>,
+    pub changes: Vec<Change>,
+    versions: Vec<(String, u64)>,
+}
+
+#[derive(Debug)]
+pub struct Journal {
+    leader_key: String,
+    fence: Fence,
+    docs: BTreeMap<String, Doc>,
+    urgent: VecDeque<String>,
+    dirty: VecDeque<String>,
+    in_flight: Option<Vec<(String, u64)>>,
+    next_version: u64,
+    max_ops: usize,
+}
+
+/// Most that a transaction may hold, with room for its frame.
+const MAX_BYTES: usize = 56 * 1024;
+
+impl Journal {
+    pub fn new(leader_key: &str, fence: Fence, max_ops: usize) -> Self {
+        Self {
+            leader_key: leader_key.into(),
+            fence,
+            docs: BTreeMap::new(),
+            urgent: VecDeque::new(),
+            dirty: VecDeque::new(),
+            in_flight: None,
+            next_version: 1,
+            max_ops: max_ops.max(1),
+        }
+    }
+
+    /// Takes note of a key read from the state service.
+    pub fn loaded(&mut self, key: &str, stamp: Stamp) {
+        let doc = self.docs.entry(key.into()).or_default();
+        doc.stamp = doc.stamp.max(stamp);
+    }
+
+    pub fn stamp(&self, key: &str) -> Stamp {
+        self.docs.get(key).map(|d| d.stamp).unwrap_or_default()
+    }
+
+    /// Wants `value` under `key`; returns the version that `Settled` will name.
+    pub fn put(&mut self, key: &str, value: Option<String>, urgent: bool) -> u64 {
+        let version = self.next_version;
+        self.next_version += 1;
+        let doc = self.docs.entry(key.into()).or_default();
+        let queued = doc.wanted > doc.saved;
+        doc.value = value;
+        doc.wanted = version;
+        let in_flight = self.in_flight.as_ref().is_some_and(|f| f.iter().any(|(k, _)| k == key));
+        if urgent {
+            self.urgent.push_back(key.into());
+        } else if !queued || in_flight {
+            self.dirty.push_back(key.into());
+        }
+        version
+    }
+
+    /// Drops the wish to write `key`, since somebody else's verdict stands there.
+    pub fn give_up(&mut self, key: &str) {
+        self.docs.remove(key);
+    }
+
+    pub fn idle(&self) -> bool {
+        self.in_flight.is_none()
+    }
+
+    pub fn backlog(&self) -> usize {
+        self.urgent.len() + self.dirty.len()
+    }
+
+    /// The next transaction, if there is something to write and none is in flight.
+    pub fn next(&mut self) -> Option<Batch> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let mut batch = Batch {
+            conditions: vec![(self.leader_key.clone(), Stamp(self.fence.0))],
+            changes: Vec::new(),
+            versions: Vec::new(),
+        };
+        let mut bytes = 0;
+        while batch.changes.len() < self.max_ops {
+            let Some(key) = self.urgent.pop_front().or_else(|| self.dirty.pop_front()) else { break };
+            let Some(doc) = self.docs.get(&key) else { continue };
+            if doc.wanted <= doc.saved || batch.versions.iter().any(|(k, _)| *k == key) {
+                continue;
+            }
+            let change = match &doc.value {
+                Some(value) => Change::Put { key: key.clone(), value: value.clone(), permit: None },
+                None => Change::Delete { key: key.clone() },
+            };
+            if bytes > 0 && bytes + change.size() > MAX_BYTES {
+                self.urgent.push_front(key);
+                break;
+            }
+            bytes += change.size();
+            batch.conditions.push((key.clone(), doc.stamp));
+            batch.versions.push((key.clone(), doc.wanted));
+            batch.changes.push(change);
+        }
+        if batch.changes.is_empty() {
+            return None;
+        }
+        self.in_flight = Some(batch.versions.clone());
+        Some(batch)
+    }
+
+    pub fn committed(&mut self, epoch: u64) -> Settled {
+        let keys = self.in_flight.take().unwrap_or_default();
+        for (key, version) in &keys {
+            let Some(doc) = self.docs.get_mut(key) else { continue };
+            doc.saved = *version;
+            doc.stamp = Stamp(epoch);
+            if doc.value.is_none() && doc.wanted == *version {
+                self.docs.remove(key);
+            }
+        }
+        Settled { keys }
+    }
+
+    /// Nothing known to be written: the same keys are tried again.
+    pub fn failed(&mut self) {
+        for (key, _) in self.in_flight.take().unwrap_or_default().into_iter().rev() {
+            self.urgent.push_front(key);
+        }
+    }
+
+    /// What a key turned out to be after a conflict.
+    pub fn corrected(&mut self, key: &str, stamp: Stamp) {
+        if let Some(doc) = self.docs.get_mut(key) {
+            doc.stamp = stamp;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_late_transaction_and_its_successor_exclude_each_other() {
+        let mut j = Journal::new("leader", Fence(9), 4);
+        j.loaded("m/a", Stamp(3));
+        let v1 = j.put("m/a", Some("1".into()), false);
+        let first = j.next().expect("work");
+        assert_eq!(first.conditions, [("leader".to_string(), Stamp(9)), ("m/a".to_string(), Stamp(3))]);
+        assert!(j.next().is_none(), "one in flight at a time");
+        let v2 = j.put("m/a", Some("2".into()), false);
+        j.failed();
+        let second = j.next().expect("work");
+        assert_eq!(second.conditions, first.conditions, "so that only one of them can be applied");
+        assert_eq!(j.committed(12).keys, [("m/a".to_string(), v2)]);
+        assert!(v1 < v2 && j.next().is_none());
+        j.put("m/a", None, false);
+        assert_eq!(j.next().expect("work").conditions[1].1, Stamp(12));
+    }
+
+    #[test]
+    fn a_change_made_while_its_key_is_in_flight_is_written_too() {
+        let mut j = Journal::new("leader", Fence(9), 4);
+        j.put("m/a", Some("1".into()), false);
+        j.next().expect("work");
+        let v2 = j.put("m/a", Some("2".into()), false);
+        j.committed(10);
+        let batch = j.next().expect("the second change");
+        assert_eq!(batch.conditions[1].1, Stamp(10));
+        assert_eq!(j.committed(11).keys, [("m/a".to_string(), v2)]);
+    }
+}
--- /dev/null
+++ b/src/ledger/mod.rs
@@ -0,0 +1,112 @@
+//! The ledger: which task may be on which machine.
+//!
+//! An entry is written durably before its start order leaves, and it leaves only by proof that
+//! the task is gone. Quota, room and zone count every entry, also of lost and stopping tasks.
+
+mod journal;
+
+pub use journal::{Batch, Journal, Settled};
+
+use crate::types::{Attempt, MachineId, Room, Session, TaskId, TeamName, Time, TypeName, Zone};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Prefix of machine records in the state service.
+pub const PREFIX: &str = "m/";
+/// Entries a machine may hold: keeps its record within the smallest value limit we expect.
+pub const MAX_ENTRIES: usize = 128;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum EntryState {
+    /// Not durable yet: no order may leave.
+    Planned,
+    /// Durable; the start may be sent.
+    Ready,
+    /// The start went out in the answer to the report with this session and serial.
+    Sent {
+        session: Session,
+        serial: u64,
+    },
+    /// Read from the record of an earlier leader: may or may not be there.
+    Inherited,
+    /// Reported as fetching or waiting for its gang.
+    Preparing,
+    Running,
+    Saving,
+    /// Reported as done; waits until that is recorded. No longer on the machine.
+    Done,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Stop {
+    pub grace_s: f64,
+    pub since: Time,
+}
+
+#[derive(Debug, Clone)]
+pub struct Entry {
+    pub attempt: Attempt,
+    pub team: TeamName,
+    pub room: Room,
+    pub state: EntryState,
+    pub stop: Option<Stop>,
+    /// When the task was last seen to begin to run.
+    pub running_since: Option<Time>,
+    pub planned_at: Time,
+}
+
+impl Entry {
+    /// Whether the task may be on the machine.
+    pub fn counts(&self) -> bool {
+        self.state != EntryState::Done
+    }
+    pub fn is_running(&self) -> bool {
+        matches!(self.state, EntryState::Running | EntryState::Saving)
+    }
+    /// Whether no order for it can have reached the worker.
+    pub fn unsent(&self) -> bool {
+        matches!(self.state, EntryState::Planned | EntryState::Ready)
+    }
+}
+
+/// A machine's durable record. The entries carry what they take, so that quota can be counted
+/// even for tasks whose job is over.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineRecord {
+    #[serde(rename = "f")]
+    pub type_name: TypeName,
+    #[serde(rename = "z")]
+    pub zone: Zone,
+    #[serde(rename = "s")]
+    pub spot: bool,
+    #[serde(rename = "a", default)]
+    pub addr: Option<String>,
+    #[serde(rename = "n", default)]
+    pub session: Session,
+    #[serde(rename = "t", default)]
+    pub entries: Vec<(TaskId, Attempt, TeamName, Room)>,
+}
+
+pub fn key(id: &MachineId) -> String {
+    format!("{PREFIX}{id}")
+}
+
+/// What a team's tasks take now.
+pub fn used_by_team<'a>(entries: impl Iterator<Item = &'a Entry>) -> BTreeMap<TeamName, Room> {
+    let mut used: BTreeMap<TeamName, Room> = BTreeMap::new();
+    for e in entries.filter(|e| e.counts()) {
+        match used.get_mut(&e.team) {
+            Some(room) => *room = room.plus(&e.room),
+            None => {
+                used.insert(e.team.clone(), e.room);
+            }
+        }
+    }
+    used
+}
+
+/// Whether a team at `used` may take `more`.
+pub fn within_limit(team: &crate::settings::Team, used: &Room, more: &Room) -> bool {
+    let ok = |max: Option<f64>, used: f64, more: f64| max.is_none_or(|m| used + more <= m + 1e-6);
+    ok(team.max_gpus, used.gpus, more.gpus) && ok(team.max_cpus, used.cpus, more.cpus)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! pearford, a cluster scheduler: see `docs/design.md`.
+#![forbid(unsafe_code)]
+
+pub mod blocks;
+pub mod fleet;
+pub mod gangs;
+pub mod jobs;
+pub mod leader;
+pub mod ledger;
+pub mod node;
+pub mod placement;
+pub mod preemption;
+pub mod settings;
+pub mod store;
+pub mod types;
+pub mod wire;
+pub mod workers;
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,63 @@
+//! A node: the core that joins the slices, and beside it the shell that does what it says.
+
+mod core;
+mod master;
+pub mod shell;
+
+pub use self::core::Core;
+
+use crate::blocks::Envelope;
+use crate::types::{NodeName, OpId, Span, Time, Wall};
+use crate::wire::cloud::{CloudReply, CloudRequest};
+use crate::wire::state::{StateReply, StateRequest};
+
+/// The clocks at a step.
+#[derive(Debug, Clone, Copy)]
+pub struct Now {
+    pub steady: Time,
+    pub wall: Wall,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    Get,
+    Post,
+    Other,
+}
+
+/// What happens to a node.
+#[derive(Debug)]
+pub enum Input {
+    Tick,
+    Http {
+        request: OpId,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+    },
+    State {
+        op: OpId,
+        reply: StateReply,
+    },
+    Cloud {
+        op: OpId,
+        reply: CloudReply,
+    },
+    /// A worker's answer to a direct command; status 0: none came.
+    Worker {
+        op: OpId,
+        status: u16,
+        body: Vec<u8>,
+    },
+    Peer(Envelope),
+}
+
+/// What a node does.
+#[derive(Debug)]
+pub enum Effect {
+    Answer { request: OpId, status: u16, retry_after_s: Option<u32>, body: String },
+    State { op: OpId, request: StateRequest, patience: Span },
+    Cloud { op: OpId, request: CloudRequest, patience: Span },
+    Worker { op: OpId, addr: String, body: String },
+    Peer { to: NodeName, bytes: Vec<u8> },
+}
--- /dev/null
+++ b/src/node/shell.rs
@@ -0,0 +1,358 @@
+//! The only async code: sockets, clocks and randomness around the core.
+
+use super::{Core, Effect, Input, Method, Now};
+use crate::settings::{Peer, Settings};
+use crate::types::{NodeName, OpId, Span, Time, Wall};
+use crate::wire::MAX_BODY;
+use crate::wire::state::StateReply;
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::{SinkExt, Stream, StreamExt};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use warp::Filter;
+
+const TICK: Duration = Duration::from_millis(50);
+/// Inputs that may wait for the core; senders wait beyond that.
+const QUEUE: usize = 4096;
+/// Messages that may wait for one peer; later ones are dropped, all are repeated or void soon.
+const PEER_QUEUE: usize = 64;
+const MAX_FRAME: usize = 1024 * 1024;
+const MAX_RESPONSE: usize = 8 * 1024 * 1024;
+const BODY_PATIENCE: Duration = Duration::from_secs(5);
+const HEADER_PATIENCE: Duration = Duration::from_secs(60);
+const CONNECT_PATIENCE: Duration = Duration::from_millis(1000);
+const WORKER_PATIENCE: Duration = Duration::from_millis(3000);
+const ANSWER_PATIENCE: Duration = Duration::from_secs(10);
+const PEER_RETRY: Duration = Duration::from_millis(300);
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+struct Reply {
+    status: u16,
+    retry_after_s: Option<u32>,
+    body: String,
+}
+
+enum Message {
+    Input(Input),
+    Http { method: Method, path: String, body: Vec<u8>, reply: oneshot::Sender<Reply> },
+}
+
+/// Runs the node until its process is killed.
+pub async fn run(settings: Settings) -> std::io::Result<()> {
+    let settings = Arc::new(settings);
+    let api = TcpListener::bind(settings.api_addr).await?;
+    let back = TcpListener::bind(settings.peer_addr).await?;
+    let (tx, mut rx) = mpsc::channel::<Message>(QUEUE);
+
+    // Some sockets stay for the state service, cloud, workers and peers.
+    let spare = (settings.limits.max_connections / 5).clamp(8, 300);
+    let connections = Arc::new(Semaphore::new(settings.limits.max_connections - spare));
+    tokio::spawn(serve_api(api, connections, tx.clone()));
+    tokio::spawn(serve_peers(back, settings.peers.len() * 4 + 4, tx.clone()));
+    let peers: HashMap<NodeName, mpsc::Sender<Vec<u8>>> =
+        settings.peers.iter().map(|p| (p.name.clone(), dial_peer(p.clone()))).collect();
+
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_PATIENCE));
+    let client: HttpClient = Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(Duration::from_secs(20))
+        .pool_max_idle_per_host(8)
+        .build(connector);
+
+    let start = Instant::now();
+    let clock = || Now {
+        // Starts above 0, so that "never" lies in the past.
+        steady: Time::from_ms(start.elapsed().as_millis() as u64 + 1_000_000),
+        wall: Wall(SystemTime::now().duration_since(UNIX_EPOCH).map(|d| d.as_millis() as u64).unwrap_or(0)),
+    };
+    let mut core = Core::new(settings.clone(), rand::random());
+    let mut answers: HashMap<OpId, oneshot::Sender<Reply>> = HashMap::new();
+    let mut next_request = 0;
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let message = tokio::select! {
+            biased;
+            _ = ticks.tick() => Message::Input(Input::Tick),
+            Some(message) = rx.recv() => message,
+        };
+        let input = match message {
+            Message::Input(input) => input,
+            Message::Http { method, path, body, reply } => {
+                next_request += 1;
+                let request = OpId(next_request);
+                answers.insert(request, reply);
+                Input::Http { request, method, path, body }
+            }
+        };
+        for effect in core.step(clock(), input) {
+            match effect {
+                Effect::Answer { request, status, retry_after_s, body } => {
+                    if let Some(reply) = answers.remove(&request) {
+                        // The asker may have gone meanwhile; nothing is left to do then.
+                        let _ = reply.send(Reply { status, retry_after_s, body });
+                    }
+                }
+                Effect::Peer { to, bytes } => {
+                    if let Some(peer) = peers.get(&to)
+                        && peer.try_send(bytes).is_err()
+                    {
+                        tracing::debug!(peer = %to, "message dropped: too many wait");
+                    }
+                }
+                other => call(other, &client, &settings, &tx),
+            }
+        }
+    }
+}
+
+/// Makes an HTTP call of the core's beside the loop; its answer comes back as an input.
+fn call(effect: Effect, client: &HttpClient, settings: &Settings, tx: &mpsc::Sender<Message>) {
+    let (client, tx) = (client.clone(), tx.clone());
+    let (state_addr, cloud_addr) = (settings.state_addr, settings.cloud_addr);
+    tokio::spawn(async move {
+        let input = match effect {
+            Effect::State { op, request, patience } => {
+                let (method, path, body) = request.http();
+                let got = fetch(&client, state_addr, method, &path, body, patience).await;
+                let reply = match got {
+                    Some((status, body)) => request.reply(status, &body),
+                    None => StateReply::Unknown,
+                };
+                tracing::debug!(?request, ?reply, "state");
+                Input::State { op, reply }
+            }
+            Effect::Cloud { op, request, patience } => {
+                let (method, path, body) = request.http();
+                let got = fetch(&client, cloud_addr, method, &path, body, patience).await;
+                let reply = match got {
+                    Some((status, body)) => request.reply(status, &body),
+                    None => crate::wire::cloud::CloudReply::Unknown,
+                };
+                Input::Cloud { op, reply }
+            }
+            Effect::Worker { op, addr, body } => {
+                let patience = Span::ms(WORKER_PATIENCE.as_millis() as u64);
+                let got = match addr.parse() {
+                    Ok(addr) => {
+                        fetch(&client, addr, http::Method::POST, "/do", body.into_bytes(), patience).await
+                    }
+                    Err(_) => None,
+                };
+                let (status, body) = got.map(|(s, b)| (s, b.to_vec())).unwrap_or_default();
+                Input::Worker { op, status, body }
+            }
+            Effect::Answer { .. } | Effect::Peer { .. } => return,
+        };
+        let _ = tx.send(Message::Input(input)).await;
+    });
+}
+
+async fn fetch(
+    client: &HttpClient,
+    addr: SocketAddr,
+    method: http::Method,
+    path: &str,
+    body: Vec<u8>,
+    patience: Span,
+) -> Option<(u16, Bytes)> {
+    let mut request = http::Request::builder().method(method).uri(format!("http://{addr}{path}"));
+    if !body.is_empty() {
+        request = request.header(http::header::CONTENT_TYPE, "application/json");
+    }
+    let request = request.body(Full::new(Bytes::from(body))).ok()?;
+    let exchange = async {
+        let response = client.request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MAX_RESPONSE).collect().await.ok()?.to_bytes();
+        Some((status, body))
+    };
+    timeout(Duration::from_millis(patience.0), exchange).await.ok().flatten()
+}
+
+// ---- users and workers ----
+
+async fn serve_api(listener: TcpListener, connections: Arc<Semaphore>, tx: mpsc::Sender<Message>) {
+    let filter = warp::any()
+        .and(warp::method())
+        .and(warp::path::full())
+        .and(warp::header::optional::<u64>("content-length"))
+        .and(warp::body::stream())
+        .and(warp::any().map(move || tx.clone()))
+        .then(|method, path: warp::path::FullPath, length, body, tx| async move {
+            handle(method, path.as_str().to_string(), length, body, tx).await
+        });
+    let service = TowerToHyperService::new(warp::service(filter));
+    loop {
+        let Ok(permit) = connections.clone().acquire_owned().await else { return };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "a connection could not be accepted");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let service = service.clone();
+        tokio::spawn(async move {
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEADER_PATIENCE)
+                .max_buf_size(128 * 1024)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(%error, "connection ended");
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn handle(
+    method: http::Method,
+    path: String,
+    length: Option<u64>,
+    body: impl Stream<Item = Result<impl Buf, warp::Error>>,
+    tx: mpsc::Sender<Message>,
+) -> http::Response<String> {
+    let body = match read_body(length, body).await {
+        Ok(body) => body,
+        Err((status, why)) => {
+            let reply = Reply { status, retry_after_s: None, body: crate::wire::users::error(why) };
+            return respond(reply, true);
+        }
+    };
+    let method = match method {
+        http::Method::GET => Method::Get,
+        http::Method::POST => Method::Post,
+        _ => Method::Other,
+    };
+    let (reply, answer) = oneshot::channel();
+    let busy = |why| Reply { status: 503, retry_after_s: Some(1), body: crate::wire::users::error(why) };
+    if tx.try_send(Message::Http { method, path, body, reply }).is_err() {
+        return respond(busy("too many requests wait here; come back"), false);
+    }
+    match timeout(ANSWER_PATIENCE, answer).await {
+        Ok(Ok(reply)) => respond(reply, false),
+        _ => respond(busy("no answer in time; come back"), false),
+    }
+}
+
+async fn read_body(
+    length: Option<u64>,
+    body: impl Stream<Item = Result<impl Buf, warp::Error>>,
+) -> Result<Vec<u8>, (u16, &'static str)> {
+    const TOO_LARGE: (u16, &str) = (413, "the body may hold 64 KiB at most");
+    if length.is_some_and(|l| l > MAX_BODY as u64) {
+        return Err(TOO_LARGE);
+    }
+    let read = async {
+        let mut all = BytesMut::new();
+        let mut body = std::pin::pin!(body);
+        while let Some(chunk) = body.next().await {
+            let mut chunk = chunk.map_err(|_| (400, "the body broke off"))?;
+            while chunk.has_remaining() {
+                let part = chunk.chunk();
+                if all.len() + part.len() > MAX_BODY {
+                    return Err(TOO_LARGE);
+                }
+                all.extend_from_slice(part);
+                let n = part.len();
+                chunk.advance(n);
+            }
+        }
+        Ok(all.to_vec())
+    };
+    timeout(BODY_PATIENCE, read).await.unwrap_or(Err((408, "the body came too slowly")))
+}
+
+fn respond(reply: Reply, close: bool) -> http::Response<String> {
+    let mut response = http::Response::new(reply.body);
+    *response.status_mut() =
+        http::StatusCode::from_u16(reply.status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    if let Some(s) = reply.retry_after_s {
+        headers.insert(http::header::RETRY_AFTER, http::HeaderValue::from(s));
+    }
+    if close {
+        headers.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+// ---- peers ----
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
+}
+
+async fn serve_peers(listener: TcpListener, most: usize, tx: mpsc::Sender<Message>) {
+    let connections = Arc::new(Semaphore::new(most));
+    loop {
+        let Ok(permit) = connections.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let tx = tx.clone();
+        tokio::spawn(async move {
+            let mut frames = Framed::new(stream, codec());
+            // Peers speak every second: a connection silent for long is dead.
+            while let Ok(Some(Ok(frame))) = timeout(Duration::from_secs(15), frames.next()).await {
+                match crate::blocks::decode(&frame) {
+                    Some(envelope) => {
+                        if tx.send(Message::Input(Input::Peer(envelope))).await.is_err() {
+                            break;
+                        }
+                    }
+                    None => tracing::debug!("a peer's message was not understood"),
+                }
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// Keeps one connection to a peer; what can't be sent is dropped.
+fn dial_peer(peer: Peer) -> mpsc::Sender<Vec<u8>> {
+    let (tx, mut rx) = mpsc::channel::<Vec<u8>>(PEER_QUEUE);
+    tokio::spawn(async move {
+        loop {
+            let connected = timeout(CONNECT_PATIENCE, TcpStream::connect(peer.addr)).await;
+            if let Ok(Ok(stream)) = connected {
+                let _ = stream.set_nodelay(true);
+                let mut frames = Framed::new(stream, codec());
+                while let Some(bytes) = rx.recv().await {
+                    let sent = timeout(Duration::from_secs(2), frames.send(Bytes::from(bytes))).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        break;
+                    }
+                }
+            }
+            // What waited meanwhile is out of date.
+            while rx.try_recv().is_ok() {}
+            if rx.is_closed() {
+                return;
+            }
+            tokio::time::sleep(PEER_RETRY).await;
+        }
+    });
+    tx
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,347 @@
+//! Placement: a controller places waiting tasks in rounds inside its block of machines.
+//!
+//! Each candidate's draw from its Beta counts, G1/(G1+G2) from two Gamma draws, is multiplied by
+//! a health factor and, for an empty machine while a partly booked one fits too, by a packing
+//! factor; the highest wins. See `docs/design.md` for the source.
+
+use crate::jobs::Shape;
+use crate::types::{Image, JobId, Kind, MachineId, Room, TypeName, Zone};
+use crate::workers::Health;
+use rand::Rng;
+use rand_distr::{Distribution, Gamma};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A machine as a controller sees it for one round.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineView {
+    pub id: MachineId,
+    pub type_name: TypeName,
+    pub zone: Zone,
+    pub spot: bool,
+    pub free: Room,
+    pub empty: bool,
+    pub health: Health,
+    pub images: Vec<Image>,
+}
+
+/// Tasks of one job that wait for machines.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TaskAsk {
+    pub job: JobId,
+    pub kind: Kind,
+    pub shape: Shape,
+    pub tasks: Vec<u32>,
+    pub room: Room,
+    pub types: Option<Vec<TypeName>>,
+    pub spot: bool,
+    /// Zones it may use and how many more of its tasks each may take.
+    pub zones: Vec<(Zone, u32)>,
+    /// All tasks of it must be in one zone.
+    pub together: bool,
+    pub image: Image,
+}
+
+impl TaskAsk {
+    fn allows(&self, m: &MachineView) -> bool {
+        m.health != Health::Unreachable
+            && (self.spot || !m.spot)
+            && self.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
+            && self.zones.iter().any(|(z, n)| *z == m.zone && *n > 0)
+            && self.room.fits_in(&m.free)
+    }
+}
+
+/// One task's machine, as a controller proposes it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Proposal {
+    pub job: JobId,
+    pub task: u32,
+    pub machine: MachineId,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Pair {
+    pub alpha: f32,
+    pub beta: f32,
+}
+
+impl Default for Pair {
+    fn default() -> Self {
+        Self { alpha: 1.0, beta: 1.0 }
+    }
+}
+
+impl Pair {
+    fn add(&mut self, success: bool) {
+        if success { self.alpha += 1.0 } else { self.beta += 1.0 }
+    }
+}
+
+/// What became of a task on a machine, as far as that speaks of the machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    pub machine: MachineId,
+    pub kind: Kind,
+    pub success: bool,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct MachineCounts {
+    any: Pair,
+    kinds: BTreeMap<Kind, Pair>,
+}
+
+/// Beta counts per machine and kind, with a kind-free fallback pair.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    machines: BTreeMap<MachineId, MachineCounts>,
+}
+
+impl Counts {
+    pub fn learn(&mut self, l: &Learned) {
+        let m = self.machines.entry(l.machine.clone()).or_default();
+        m.any.add(l.success);
+        m.kinds.entry(l.kind.clone()).or_default().add(l.success);
+    }
+
+    pub fn pair(&self, machine: &MachineId, kind: &Kind) -> Pair {
+        let Some(m) = self.machines.get(machine) else { return Pair::default() };
+        m.kinds.get(kind).copied().unwrap_or(m.any)
+    }
+
+    /// Forgets machines that are gone, so that the table stays as small as the fleet.
+    pub fn keep(&mut self, present: impl Fn(&MachineId) -> bool) {
+        self.machines.retain(|id, _| present(id));
+    }
+
+    /// As a JSON value of at most `max_bytes`: machines that don't fit lose their counts.
+    pub fn to_value(&self, max_bytes: usize) -> String {
+        let mut table = self.clone();
+        loop {
+            let text = serde_json::to_string(&table).unwrap_or_else(|_| "{}".into());
+            if text.len() <= max_bytes || table.machines.is_empty() {
+                return text;
+            }
+            table.machines.pop_first();
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Factors {
+    pub degraded: f64,
+    pub unknown: f64,
+    pub empty: f64,
+}
+
+impl Factors {
+    fn health(&self, health: Health) -> f64 {
+        match health {
+            Health::Healthy => 1.0,
+            Health::Degraded => self.degraded,
+            Health::Unknown => self.unknown,
+            Health::Unreachable => 0.0,
+        }
+    }
+}
+
+fn draw(pair: Pair, rng: &mut impl Rng) -> f64 {
+    let gamma = |shape: f32, rng: &mut _| {
+        Gamma::new(f64::from(shape.max(1e-3)), 1.0).map(|g| g.sample(rng)).unwrap_or(0.0)
+    };
+    let (a, b) = (gamma(pair.alpha, rng), gamma(pair.beta, rng));
+    if a + b > 0.0 { a / (a + b) } else { 0.5 }
+}
+
+/// One controller's round. Works on `machines` as its own scratch.
+pub fn round(
+    machines: &mut [MachineView],
+    asks: &[TaskAsk],
+    counts: &Counts,
+    factors: &Factors,
+    rng: &mut impl Rng,
+) -> Vec<Proposal> {
+    let mut out = Vec::new();
+    for ask in asks {
+        if ask.shape == Shape::Gang {
+            out.extend(place_gang(machines, ask, counts, factors, rng));
+        } else {
+            let mut ask = ask.clone();
+            for task in std::mem::take(&mut ask.tasks) {
+                let Some(i) = pick(machines, &ask, counts, factors, rng) else { break };
+                book(machines, i, &mut ask);
+                out.push(Proposal { job: ask.job.clone(), task, machine: machines[i].id.clone() });
+            }
+        }
+    }
+    out
+}
+
+/// All tasks of a gang in one pass: every one gets a machine, or none does.
+fn place_gang(
+    machines: &mut [MachineView],
+    ask: &TaskAsk,
+    counts: &Counts,
+    factors: &Factors,
+    rng: &mut impl Rng,
+) -> Vec<Proposal> {
+    let mut shut: Vec<Zone> = Vec::new();
+    loop {
+        let mut scratch = machines.to_vec();
+        let mut left = ask.clone();
+        left.zones.retain(|(z, _)| !shut.contains(z));
+        let mut chosen = Vec::new();
+        for task in &ask.tasks {
+            let Some(i) = pick(&scratch, &left, counts, factors, rng) else { break };
+            book(&mut scratch, i, &mut left);
+            chosen.push(Proposal { job: ask.job.clone(), task: *task, machine: scratch[i].id.clone() });
+        }
+        if chosen.len() == ask.tasks.len() {
+            machines.clone_from_slice(&scratch);
+            return chosen;
+        }
+        // The first draw led into a zone that can't hold the gang: the others are tried before
+        // it has to wait.
+        match left.zones.first() {
+            Some((zone, _)) if ask.together && !chosen.is_empty() => shut.push(zone.clone()),
+            _ => return Vec::new(),
+        }
+    }
+}
+
+fn book(machines: &mut [MachineView], i: usize, ask: &mut TaskAsk) {
+    let m = &mut machines[i];
+    m.free = m.free.minus(&ask.room);
+    m.empty = false;
+    let zone = m.zone.clone();
+    if ask.together {
+        ask.zones.retain(|(z, _)| *z == zone);
+    }
+    for (_, left) in ask.zones.iter_mut().filter(|(z, _)| *z == zone) {
+        *left = left.saturating_sub(1);
+    }
+}
+
+fn pick(
+    machines: &[MachineView],
+    ask: &TaskAsk,
+    counts: &Counts,
+    factors: &Factors,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let candidates: Vec<usize> = (0..machines.len()).filter(|i| ask.allows(&machines[*i])).collect();
+    // A lone candidate wins unsampled.
+    if candidates.len() <= 1 {
+        return candidates.first().copied();
+    }
+    let booked_fits = candidates.iter().any(|i| !machines[*i].empty);
+    let mut best: Option<(f64, usize)> = None;
+    for i in candidates {
+        let m = &machines[i];
+        let mut value = draw(counts.pair(&m.id, &ask.kind), rng) * factors.health(m.health);
+        if m.empty && booked_fits {
+            value *= factors.empty;
+        }
+        if best.is_none_or(|(b, _)| value > b) {
+            best = Some((value, i));
+        }
+    }
+    best.map(|(_, i)| i)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+    use rand::rngs::StdRng;
+
+    const FACTORS: Factors = Factors { degraded: 0.5, unknown: 0.8, empty: 0.5 };
+
+    fn view(id: &str, zone: &str, gpus: f64, empty: bool) -> MachineView {
+        MachineView {
+            id: id.into(),
+            type_name: "t".into(),
+            zone: zone.into(),
+            spot: false,
+            free: Room { cpus: 99.0, gpus, memory_gb: 99.0 },
+            empty,
+            health: Health::Healthy,
+            images: Vec::new(),
+        }
+    }
+
+    fn ask(shape: Shape, tasks: u32, together: bool) -> TaskAsk {
+        TaskAsk {
+            job: "req-1".into(),
+            kind: "k".into(),
+            shape,
+            tasks: (0..tasks).collect(),
+            room: Room { cpus: 1.0, gpus: 1.0, memory_gb: 1.0 },
+            types: None,
+            spot: true,
+            zones: vec![("a".into(), 99), ("b".into(), 99)],
+            together,
+            image: "i".into(),
+        }
+    }
+
+    #[test]
+    fn a_gang_gets_every_machine_or_none_and_one_zone_if_it_must() {
+        for seed in 0..50 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut machines =
+                [view("m1", "a", 2.0, true), view("m2", "b", 2.0, true), view("m3", "b", 1.0, true)];
+            let got =
+                round(&mut machines, &[ask(Shape::Gang, 3, true)], &Counts::default(), &FACTORS, &mut rng);
+            assert_eq!(got.len(), 3, "zone b holds it, whatever the first draw (seed {seed})");
+            assert!(got.iter().all(|p| p.machine != "m1".into()));
+            let mut machines = [view("m1", "a", 2.0, true), view("m2", "b", 2.0, true)];
+            let asks = [ask(Shape::Gang, 5, false)];
+            assert!(round(&mut machines, &asks, &Counts::default(), &FACTORS, &mut rng).is_empty());
+            assert_eq!(machines[0].free.gpus, 2.0, "nothing stays booked");
+        }
+    }
+
+    #[test]
+    fn failures_and_emptiness_turn_the_draw_away() {
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut counts = Counts::default();
+        for _ in 0..20 {
+            counts.learn(&Learned { machine: "bad".into(), kind: "k".into(), success: false });
+            counts.learn(&Learned { machine: "good".into(), kind: "other".into(), success: true });
+        }
+        let mut bad = 0;
+        let mut empty = 0;
+        for _ in 0..200 {
+            let mut machines = [view("bad", "a", 1.0, false), view("good", "a", 1.0, false)];
+            let p = round(&mut machines, &[ask(Shape::Array, 1, false)], &counts, &FACTORS, &mut rng);
+            bad += u32::from(p[0].machine == "bad".into());
+            let mut machines = [view("x", "a", 1.0, true), view("y", "a", 1.0, false)];
+            let p = round(&mut machines, &[ask(Shape::Array, 1, false)], &counts, &FACTORS, &mut rng);
+            empty += u32::from(p[0].machine == "x".into());
+        }
+        assert!(bad < 10, "the fallback pair of a kind never seen counts too: {bad}");
+        assert!((20..90).contains(&empty), "an empty machine wins a quarter of the time: {empty}");
+    }
+
+    #[test]
+    fn spread_caps_hold_within_a_round_and_the_table_stays_bounded() {
+        let mut rng = StdRng::seed_from_u64(2);
+        let mut machines = [view("m1", "a", 9.0, true), view("m2", "b", 9.0, true)];
+        let mut a = ask(Shape::Service, 5, false);
+        a.zones = vec![("a".into(), 3), ("b".into(), 1)];
+        let got = round(&mut machines, &[a], &Counts::default(), &FACTORS, &mut rng);
+        assert_eq!(got.iter().filter(|p| p.machine == "m1".into()).count(), 3);
+        assert_eq!(got.len(), 4);
+        let mut counts = Counts::default();
+        for i in 0..500 {
+            counts.learn(&Learned {
+                machine: format!("m-{i}").as_str().into(),
+                kind: "k".into(),
+                success: true,
+            });
+        }
+        assert!(counts.to_value(4096).len() <= 4096);
+    }
+}
--- /dev/null
+++ b/src/preemption/mod.rs
@@ -0,0 +1,1 @@
+//! Preemption: which running work makes room for more urgent work.
--- /dev/null
+++ b/src/wire/users.rs
@@ -0,0 +1,224 @@
+//! Users -> controller nodes.
+
+use crate::jobs::{JobSpec, Phase, Priority, Shape};
+use crate::types::{JobId, Room, Span};
+use serde::{Deserialize, Serialize};
+
+const ID_PREFIX: &str = "req-";
+pub const MAX_TASKS: u64 = 100_000;
+/// Larger amounts than any machine has; bounds what arithmetic on them can reach.
+const MAX_AMOUNT: f64 = 1e9;
+const MAX_NAME: usize = 128;
+
+#[derive(Deserialize)]
+struct Submission {
+    id: String,
+    job_class: String,
+    owner: String,
+    shape: WireShape,
+    urgency: WireUrgency,
+    shards: u64,
+    vcpus: f64,
+    accelerators: f64,
+    memory_gb: f64,
+    bundle: String,
+    image_gb: f64,
+    #[serde(default)]
+    flavors: Option<Vec<String>>,
+    #[serde(default)]
+    region: Option<String>,
+    together: bool,
+    spread: bool,
+    preemptible: bool,
+    expected_s: f64,
+    snapshot_every_s: f64,
+    snapshot_s: f64,
+    #[serde(default)]
+    due_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireShape {
+    Array,
+    Ensemble,
+    Daemon,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireUrgency {
+    Production,
+    Urgent,
+    Normal,
+    Idle,
+}
+
+/// Whether `id` has the form that all job ids have.
+pub fn job_id(id: &str) -> Option<JobId> {
+    let digits = id.strip_prefix(ID_PREFIX)?;
+    ((1..=32).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())).then(|| id.into())
+}
+
+/// The id of a submission whose other fields may be anything: a repeat of an accepted job gets
+/// its state whatever the retry's body says.
+pub fn submission_id(body: &[u8]) -> Option<JobId> {
+    #[derive(Deserialize)]
+    struct IdOnly {
+        id: String,
+    }
+    serde_json::from_slice::<IdOnly>(body).ok().and_then(|s| job_id(&s.id))
+}
+
+/// Reads a submission; the error says what is wrong with it.
+pub fn submission(body: &[u8]) -> Result<(JobId, JobSpec), String> {
+    let s: Submission = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let id = job_id(&s.id).ok_or("id: must look like req-000412")?;
+    let amount = |key: &str, v: f64, least: f64| {
+        if v.is_finite() && v >= least && v <= MAX_AMOUNT {
+            Ok(v)
+        } else {
+            Err(format!("{key}: must be a number from {least} to {MAX_AMOUNT}, is {v}"))
+        }
+    };
+    let name = |key: &str, v: &str| {
+        if v.is_empty() || v.len() > MAX_NAME {
+            Err(format!("{key}: must have 1 to {MAX_NAME} characters"))
+        } else {
+            Ok(())
+        }
+    };
+    name("job_class", &s.job_class)?;
+    name("owner", &s.owner)?;
+    name("bundle", &s.bundle)?;
+    if let Some(region) = &s.region {
+        name("region", region)?;
+    }
+    for flavor in s.flavors.iter().flatten() {
+        name("flavors", flavor)?;
+    }
+    if s.flavors.as_ref().is_some_and(|f| f.len() > 64) {
+        return Err("flavors: at most 64".into());
+    }
+    if s.shards == 0 || s.shards > MAX_TASKS {
+        return Err(format!("shards: must be from 1 to {MAX_TASKS}, is {}", s.shards));
+    }
+    if s.vcpus <= 0.0 {
+        return Err(format!("vcpus: must be above 0, is {}", s.vcpus));
+    }
+    if s.due_s.is_some_and(|d| d <= 0.0) {
+        return Err("due_s: must be above 0 or null".into());
+    }
+    let span = |key: &str, v: f64| amount(key, v, 0.0).map(Span::secs);
+    let spec = JobSpec {
+        kind: s.job_class.as_str().into(),
+        team: s.owner.as_str().into(),
+        shape: match s.shape {
+            WireShape::Array => Shape::Array,
+            WireShape::Ensemble => Shape::Gang,
+            WireShape::Daemon => Shape::Service,
+        },
+        priority: match s.urgency {
+            WireUrgency::Production => Priority::Production,
+            WireUrgency::Urgent => Priority::High,
+            WireUrgency::Normal => Priority::Normal,
+            WireUrgency::Idle => Priority::Low,
+        },
+        tasks: s.shards as u32,
+        room: Room {
+            cpus: amount("vcpus", s.vcpus, 0.0)?,
+            gpus: amount("accelerators", s.accelerators, 0.0)?,
+            memory_gb: amount("memory_gb", s.memory_gb, 0.0)?,
+        },
+        image: s.bundle.as_str().into(),
+        image_gb: amount("image_gb", s.image_gb, 0.0)?,
+        types: s.flavors.map(|f| f.iter().map(|t| t.as_str().into()).collect()),
+        zone: s.region.map(|z| z.as_str().into()),
+        together: s.together,
+        spread: s.spread,
+        spot: s.preemptible,
+        estimate: span("expected_s", s.expected_s)?,
+        checkpoint: span("snapshot_every_s", s.snapshot_every_s)?,
+        save: span("snapshot_s", s.snapshot_s)?,
+        deadline: s.due_s.map(|d| span("due_s", d)).transpose()?,
+    };
+    Ok((id, spec))
+}
+
+#[derive(Serialize)]
+struct Status<'a> {
+    id: &'a str,
+    phase: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    done: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    running: Option<u32>,
+}
+
+pub fn status(id: &JobId, phase: Phase, counts: Option<(u32, u32)>) -> String {
+    let phase = match phase {
+        Phase::Pending => "pending",
+        Phase::Running => "running",
+        Phase::Done => "done",
+        Phase::Withdrawn => "withdrawn",
+    };
+    let status = Status { id: id.as_str(), phase, done: counts.map(|c| c.0), running: counts.map(|c| c.1) };
+    serde_json::to_string(&status).unwrap_or_default()
+}
+
+pub fn error(what: &str) -> String {
+    #[derive(Serialize)]
+    struct Error<'a> {
+        error: &'a str,
+    }
+    serde_json::to_string(&Error { error: what }).unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"id":"req-000412","job_class":"train","owner":"vision","shape":"ensemble","urgency":"urgent","shards":16,
+     "vcpus":8.0,"accelerators":1.0,"memory_gb":64.0,"bundle":"img-07","image_gb":6.2,"flavors":["g8"],"region":null,
+     "together":true,"spread":false,"preemptible":true,"expected_s":240.0,"snapshot_every_s":30.0,"snapshot_s":4.0,"due_s":900.0}"#;
+
+    #[test]
+    fn a_good_submission_is_read_and_optional_fields_may_be_missing() {
+        let (id, spec) = submission(GOOD.as_bytes()).expect("valid");
+        assert_eq!(id.as_str(), "req-000412");
+        assert_eq!((spec.tasks, spec.shape, spec.priority), (16, Shape::Gang, Priority::High));
+        let bare = GOOD
+            .replace("\"region\":null,", "")
+            .replace(",\"due_s\":900.0", "")
+            .replace("\"flavors\":[\"g8\"],", "");
+        let (_, spec) = submission(bare.as_bytes()).expect("nullable fields may be omitted");
+        assert!(spec.types.is_none() && spec.zone.is_none() && spec.deadline.is_none());
+    }
+
+    #[test]
+    fn bad_submissions_are_refused_with_a_reason() {
+        for (from, to) in [
+            ("req-000412", "job-1"),
+            ("req-000412", "req-12/3"),
+            ("\"shards\":16", "\"shards\":0"),
+            ("\"shards\":16", "\"shards\":100001"),
+            ("\"shards\":16", "\"shards\":1.5"),
+            ("\"vcpus\":8.0", "\"vcpus\":-8.0"),
+            ("\"vcpus\":8.0", "\"vcpus\":1e999"),
+            ("\"vcpus\":8.0", "\"vcpus\":\"8\""),
+            ("\"memory_gb\":64.0,", ""),
+            ("\"ensemble\"", "\"swarm\""),
+            ("\"together\":true", "\"together\":1"),
+            ("\"due_s\":900.0", "\"due_s\":-1"),
+            ("{\"id\"", "[\"id\""),
+        ] {
+            let body = GOOD.replace(from, to);
+            assert_ne!(body, GOOD, "{from} must occur");
+            assert!(submission(body.as_bytes()).is_err(), "{to} must be refused");
+        }
+        assert_eq!(
+            submission_id(GOOD.replace("\"shards\":16", "\"shards\":-1").as_bytes()),
+            job_id("req-000412")
+        );
+    }
+}
--- /dev/null
+++ b/src/wire/workers.rs
@@ -0,0 +1,169 @@
+//! Workers <-> controller nodes.
+
+use crate::types::{Attempt, Fence, MachineId, NodeName, Session, TaskId, TypeName, Zone};
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Report {
+    #[serde(rename = "host")]
+    pub machine: MachineId,
+    pub addr: String,
+    #[serde(rename = "flavor")]
+    pub type_name: TypeName,
+    #[serde(rename = "region")]
+    pub zone: Zone,
+    #[serde(rename = "preemptible", default)]
+    pub spot: bool,
+    #[serde(rename = "tenure")]
+    pub session: Session,
+    pub serial: u64,
+    #[serde(default)]
+    pub fence: Fence,
+    #[serde(rename = "warning_s", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "shards", default)]
+    pub tasks: Vec<ReportedTask>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct ReportedTask {
+    #[serde(rename = "shard")]
+    task: String,
+    #[serde(rename = "try")]
+    pub attempt: Attempt,
+    pub phase: TaskPhase,
+    #[serde(default)]
+    pub cause: Option<Cause>,
+    #[serde(rename = "kept", default)]
+    pub saved: bool,
+}
+
+impl ReportedTask {
+    pub fn task(&self) -> Option<TaskId> {
+        TaskId::parse(&self.task)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TaskPhase {
+    Fetching,
+    Waiting,
+    Running,
+    #[serde(rename = "flushing")]
+    Saving,
+    #[serde(rename = "ended")]
+    Exited,
+    /// A phase this version does not know: counted as present.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    Done,
+    Stopped,
+    Peers,
+    #[serde(rename = "incomplete")]
+    Alone,
+    Error,
+    NoRoom,
+    Busy,
+    Unknown,
+    /// A cause this version does not know: says nothing about the machine.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    Start { task: TaskId, attempt: Attempt },
+    Stop { task: TaskId, attempt: Attempt, grace_s: f64 },
+    Forget { task: TaskId, attempt: Attempt },
+}
+
+#[derive(Serialize)]
+struct WireOrder {
+    verb: &'static str,
+    shard: String,
+    #[serde(rename = "try")]
+    attempt: Attempt,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    drain_s: Option<f64>,
+}
+
+impl Order {
+    fn to_wire(&self) -> WireOrder {
+        let (verb, task, attempt, drain_s) = match self {
+            Order::Start { task, attempt } => ("start", task, attempt, None),
+            Order::Stop { task, attempt, grace_s } => ("stop", task, attempt, Some(*grace_s)),
+            Order::Forget { task, attempt } => ("forget", task, attempt, None),
+        };
+        WireOrder { verb, shard: task.to_string(), attempt: *attempt, drain_s }
+    }
+}
+
+/// The answer to a report.
+pub fn answer(fence: Fence, orders: &[Order]) -> String {
+    #[derive(Serialize)]
+    struct Answer {
+        fence: Fence,
+        orders: Vec<WireOrder>,
+    }
+    let orders = orders.iter().map(Order::to_wire).collect();
+    serde_json::to_string(&Answer { fence, orders }).unwrap_or_default()
+}
+
+/// A direct command.
+pub fn command(fence: Fence, session: Session, orders: &[Order]) -> String {
+    #[derive(Serialize)]
+    struct Command {
+        fence: Fence,
+        tenure: Session,
+        orders: Vec<WireOrder>,
+    }
+    let orders = orders.iter().map(Order::to_wire).collect();
+    serde_json::to_string(&Command { fence, tenure: session, orders }).unwrap_or_default()
+}
+
+/// Sends a worker to the node that leads.
+pub fn redirect(master: Option<&NodeName>) -> String {
+    #[derive(Serialize)]
+    struct Redirect<'a> {
+        #[serde(skip_serializing_if = "Option::is_none")]
+        master: Option<&'a str>,
+    }
+    serde_json::to_string(&Redirect { master: master.map(NodeName::as_str) }).unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reports_and_orders_match_the_protocol() {
+        let r: Report = serde_json::from_str(
+            r#"{"host":"m-000231","addr":"10.1.0.232:9000","flavor":"g8","region":"a","preemptible":true,
+            "tenure":1,"serial":88,"fence":41,"warning_s":null,"new_field":{},
+            "shards":[{"shard":"req-000412/3","try":2,"phase":"running"},{"shard":"req-000398/0","try":1,"phase":"ended","cause":"done"},
+            {"shard":"req-000399/0","try":1,"phase":"ended","cause":"no_room"},{"shard":"req-1/0","try":1,"phase":"dreaming"}]}"#,
+        )
+        .expect("valid");
+        assert_eq!(r.tasks[0].task(), TaskId::parse("req-000412/3"));
+        assert_eq!(r.tasks[1].cause, Some(Cause::Done));
+        assert_eq!(r.tasks[2].cause, Some(Cause::NoRoom));
+        assert_eq!(r.tasks[3].phase, TaskPhase::Other);
+        let task = TaskId::parse("req-000412/4").expect("valid");
+        let orders = [
+            Order::Start { task: task.clone(), attempt: Attempt(2) },
+            Order::Stop { task: task.clone(), attempt: Attempt(1), grace_s: 10.0 },
+            Order::Forget { task, attempt: Attempt(1) },
+        ];
+        assert_eq!(
+            answer(Fence(41), &orders),
+            r#"{"fence":41,"orders":[{"verb":"start","shard":"req-000412/4","try":2},{"verb":"stop","shard":"req-000412/4","try":1,"drain_s":10.0},{"verb":"forget","shard":"req-000412/4","try":1}]}"#
+        );
+        assert_eq!(redirect(None), "{}");
+    }
+}
--- /dev/null
+++ b/src/workers/mod.rs
@@ -0,0 +1,426 @@
+//! Workers: what their reports say, what that proves, and the orders they get.
+
+use crate::ledger::{Entry, EntryState, MachineRecord, Stop};
+use crate::types::{Attempt, Fence, Image, MachineId, Room, Session, Span, TaskId, Time, TypeName, Zone};
+use crate::wire::workers::{Cause, Order, Report, ReportedTask, TaskPhase};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Rented; its worker has not reported yet.
+    Booting,
+    Up,
+    /// Being returned: nothing new goes there, and its tasks count until the cloud's 200.
+    Releasing,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Health {
+    Healthy,
+    Degraded,
+    Unknown,
+    Unreachable,
+}
+
+/// How a task left its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    Failed,
+    Stopped {
+        saved: bool,
+    },
+    /// Another task of the gang is gone, or the gang never was complete.
+    GangBroke,
+    NoRoom,
+    /// The worker did not know the job yet, or had another attempt there.
+    Refused,
+    /// The worker's session ended, and with it all its tasks.
+    Vanished,
+    /// It never was there: the order did not arrive, or wasn't sent any more.
+    NeverStarted,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: MachineId,
+    pub addr: Option<String>,
+    pub type_name: TypeName,
+    pub zone: Zone,
+    pub spot: bool,
+    pub total: Room,
+    pub standing: Standing,
+    pub rented_at: Time,
+    pub last_report: Option<Time>,
+    pub session: Session,
+    pub serial: u64,
+    pub fence: Fence,
+    /// When the cloud will take it away.
+    pub taken_at: Option<Time>,
+    pub entries: BTreeMap<TaskId, Entry>,
+    /// Tasks reported that the ledger doesn't know: stopped, and until then nothing starts here.
+    pub strays: BTreeSet<TaskId>,
+    /// Images a task got here, in order of last use.
+    pub images: Vec<Image>,
+    pub empty_since: Option<Time>,
+    pub not_before: Time,
+    /// The session that a direct command should name, as far as an earlier leader knew.
+    pub push_session: Session,
+    /// Version from which each planned entry is durable.
+    pub planned: BTreeMap<TaskId, u64>,
+    pub draining: bool,
+}
+
+/// What a report changed.
+#[derive(Debug, Default)]
+pub struct Digest {
+    /// Tasks that are proved gone; their entries are out of the ledger.
+    pub gone: Vec<(TaskId, Entry, Outcome)>,
+    /// Tasks that are done; their entries stay until that is recorded.
+    pub done: Vec<(TaskId, Attempt)>,
+    /// Tasks that began to run.
+    pub began: Vec<TaskId>,
+    /// Whether it was an old report, which says nothing.
+    pub stale: bool,
+}
+
+const IMAGES_REMEMBERED: usize = 8;
+
+impl Machine {
+    pub fn new(id: MachineId, type_name: TypeName, zone: Zone, spot: bool, total: Room, now: Time) -> Self {
+        Self {
+            id,
+            addr: None,
+            type_name,
+            zone,
+            spot,
+            total,
+            standing: Standing::Booting,
+            rented_at: now,
+            last_report: None,
+            session: Session(0),
+            serial: 0,
+            fence: Fence(0),
+            taken_at: None,
+            entries: BTreeMap::new(),
+            strays: BTreeSet::new(),
+            images: Vec::new(),
+            empty_since: Some(now),
+            not_before: Time::default(),
+            push_session: Session(0),
+            planned: BTreeMap::new(),
+            draining: false,
+        }
+    }
+
+    pub fn record(&self) -> MachineRecord {
+        MachineRecord {
+            type_name: self.type_name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            addr: self.addr.clone(),
+            session: self.session,
+            entries: self
+                .entries
+                .iter()
+                .map(|(t, e)| (t.clone(), e.attempt, e.team.clone(), e.room))
+                .collect(),
+        }
+    }
+
+    pub fn free(&self) -> Room {
+        self.entries.values().filter(|e| e.counts()).fold(self.total, |free, e| free.minus(&e.room))
+    }
+
+    pub fn is_empty(&self) -> bool {
+        !self.entries.values().any(Entry::counts) && self.strays.is_empty()
+    }
+
+    pub fn health(&self, now: Time, report: Span, degraded: f64, unreachable: f64) -> Health {
+        match self.last_report {
+            None => Health::Unknown,
+            Some(at) if now.since(at) > report.times(unreachable) => Health::Unreachable,
+            Some(at) if now.since(at) > report.times(degraded) => Health::Degraded,
+            Some(_) => Health::Healthy,
+        }
+    }
+
+    /// Whether new tasks may go there.
+    pub fn open_for_tasks(&self, now: Time) -> bool {
+        self.standing == Standing::Up
+            && !self.draining
+            && self.taken_at.is_none()
+            && self.strays.is_empty()
+            && now >= self.not_before
+            && self.entries.len() < crate::ledger::MAX_ENTRIES
+    }
+
+    pub fn remember_image(&mut self, image: &Image) {
+        self.images.retain(|i| i != image);
+        self.images.push(image.clone());
+        if self.images.len() > IMAGES_REMEMBERED {
+            self.images.remove(0);
+        }
+    }
+
+    /// Asks a task to stop. True if it is off the ledger at once, since no order can have
+    /// reached the worker.
+    pub fn stop(&mut self, task: &TaskId, grace_s: f64, now: Time) -> Option<Entry> {
+        let entry = self.entries.get_mut(task)?;
+        if entry.unsent() {
+            self.planned.remove(task);
+            return self.entries.remove(task);
+        }
+        match &mut entry.stop {
+            Some(stop) if stop.grace_s <= grace_s => {}
+            Some(stop) => stop.grace_s = grace_s,
+            None => entry.stop = Some(Stop { grace_s, since: now }),
+        }
+        None
+    }
+
+    /// Takes in a report. `mine` is this leader's fence.
+    pub fn digest(&mut self, report: &Report, mine: Fence, now: Time) -> Digest {
+        let mut digest = Digest::default();
+        if (report.session, report.serial) <= (self.session, self.serial) {
+            digest.stale = true;
+            return digest;
+        }
+        self.session = report.session;
+        self.serial = report.serial;
+        self.fence = report.fence;
+        self.addr = Some(report.addr.clone());
+        self.last_report = Some(now);
+        if self.standing == Standing::Booting {
+            self.standing = Standing::Up;
+            self.empty_since = Some(now);
+        }
+        self.taken_at = report.notice_s.map(|s| now + Span::secs(s));
+
+        let mut listed: BTreeMap<TaskId, &ReportedTask> = BTreeMap::new();
+        self.strays.clear();
+        for reported in &report.tasks {
+            let Some(task) = reported.task() else { continue };
+            match self.entries.get(&task) {
+                Some(e) if e.attempt == reported.attempt => {
+                    listed.insert(task, reported);
+                }
+                _ if reported.phase == TaskPhase::Exited => {}
+                _ => {
+                    self.strays.insert(task);
+                }
+            }
+        }
+        let tasks: Vec<TaskId> = self.entries.keys().cloned().collect();
+        for task in tasks {
+            let Some(entry) = self.entries.get_mut(&task) else { continue };
+            let outcome = match listed.get(&task) {
+                Some(reported) => seen(entry, reported, now, &task, &mut digest),
+                None => absent(entry, report, mine),
+            };
+            if let Some(outcome) = outcome
+                && let Some(entry) = self.entries.remove(&task)
+            {
+                self.planned.remove(&task);
+                digest.gone.push((task, entry, outcome));
+            }
+        }
+        if !self.is_empty() {
+            self.empty_since = None;
+        } else if self.empty_since.is_none() {
+            self.empty_since = Some(now);
+        }
+        digest
+    }
+
+    /// The orders that answer `report`. Starts leave only with `may_start`, that is under a
+    /// valid leadership; `may_stop` tells which stops may leave without it.
+    pub fn orders(
+        &mut self,
+        report: &Report,
+        may_start: bool,
+        may_stop: impl Fn(&TaskId) -> bool,
+    ) -> Vec<Order> {
+        const MOST: usize = 200; // keeps the answer's one line below 64 KiB
+        let mut orders = Vec::new();
+        for reported in &report.tasks {
+            let Some(task) = reported.task() else { continue };
+            let attempt = reported.attempt;
+            let exited = reported.phase == TaskPhase::Exited;
+            match self.entries.get(&task) {
+                Some(e) if e.attempt == attempt => {}
+                _ if !may_start => {}
+                _ if exited => orders.push(Order::Forget { task, attempt }),
+                _ => orders.push(Order::Stop { task, attempt, grace_s: 0.0 }),
+            }
+        }
+        for (task, entry) in &mut self.entries {
+            if orders.len() >= MOST {
+                break;
+            }
+            match (entry.state, entry.stop) {
+                (EntryState::Ready | EntryState::Sent { .. }, None) if may_start => {
+                    orders.push(Order::Start { task: task.clone(), attempt: entry.attempt });
+                    entry.state = EntryState::Sent { session: report.session, serial: report.serial };
+                }
+                // A task that already saves got its stop; a second one would cut it short.
+                (EntryState::Saving, Some(stop)) if stop.grace_s > 0.0 => {}
+                (EntryState::Planned | EntryState::Ready | EntryState::Done, _) => {}
+                (_, Some(stop)) if may_start || may_stop(task) => {
+                    orders.push(Order::Stop {
+                        task: task.clone(),
+                        attempt: entry.attempt,
+                        grace_s: stop.grace_s,
+                    });
+                }
+                _ => {}
+            }
+        }
+        orders
+    }
+}
+
+/// A listed task: takes over its phase, or tells how it ended.
+fn seen(
+    entry: &mut Entry,
+    reported: &ReportedTask,
+    now: Time,
+    task: &TaskId,
+    digest: &mut Digest,
+) -> Option<Outcome> {
+    match reported.phase {
+        TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Other => {
+            entry.state = EntryState::Preparing;
+            None
+        }
+        TaskPhase::Running => {
+            if entry.running_since.is_none() {
+                entry.running_since = Some(now);
+                digest.began.push(task.clone());
+            }
+            entry.state = EntryState::Running;
+            None
+        }
+        TaskPhase::Saving => {
+            entry.state = EntryState::Saving;
+            None
+        }
+        TaskPhase::Exited => Some(match reported.cause {
+            // Never forgotten before it is recorded: the entry stays, so no `forget` is sent.
+            Some(Cause::Done) => {
+                entry.state = EntryState::Done;
+                digest.done.push((task.clone(), entry.attempt));
+                return None;
+            }
+            Some(Cause::Error) => Outcome::Failed,
+            Some(Cause::Stopped) => Outcome::Stopped { saved: reported.saved },
+            Some(Cause::Peers | Cause::Alone) => Outcome::GangBroke,
+            Some(Cause::NoRoom) => Outcome::NoRoom,
+            Some(Cause::Busy | Cause::Unknown | Cause::Other) | None => Outcome::Refused,
+        }),
+    }
+}
+
+/// A task that a report does not list: gone if the report is newer than every order for it.
+fn absent(entry: &mut Entry, report: &Report, mine: Fence) -> Option<Outcome> {
+    match entry.state {
+        EntryState::Planned | EntryState::Ready => None,
+        // Orders in answers run before the worker's next report or never, so a later report
+        // without the task proves that it didn't start.
+        EntryState::Sent { session, serial } if (report.session, report.serial) > (session, serial) => {
+            if entry.stop.is_some() {
+                Some(Outcome::NeverStarted)
+            } else {
+                entry.state = EntryState::Ready;
+                None
+            }
+        }
+        EntryState::Sent { .. } => None,
+        // An earlier leader's start can still act until the worker has seen this leader's fence.
+        EntryState::Inherited if report.fence == mine => Some(Outcome::Vanished),
+        EntryState::Inherited => None,
+        // The outcome of a done task is known, whatever became of the worker.
+        EntryState::Done => None,
+        EntryState::Preparing | EntryState::Running | EntryState::Saving => Some(Outcome::Vanished),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine_with(state: EntryState) -> (Machine, TaskId) {
+        let room = Room { cpus: 4.0, gpus: 1.0, memory_gb: 4.0 };
+        let mut m = Machine::new("m-1".into(), "t".into(), "z".into(), false, room, Time::default());
+        let task = TaskId::parse("req-1/0").expect("valid");
+        let entry = Entry {
+            attempt: Attempt(7),
+            team: "red".into(),
+            room,
+            state,
+            stop: None,
+            running_since: None,
+            planned_at: Time::default(),
+        };
+        m.entries.insert(task.clone(), entry);
+        (m, task)
+    }
+
+    fn report(session: u64, serial: u64, fence: u64, tasks: &str) -> Report {
+        serde_json::from_str(&format!(
+            r#"{{"host":"m-1","addr":"1.1.1.1:1","flavor":"t","region":"z","preemptible":false,
+            "tenure":{session},"serial":{serial},"fence":{fence},"shards":[{tasks}]}}"#
+        ))
+        .expect("valid")
+    }
+
+    const MINE: Fence = Fence(9);
+
+    #[test]
+    fn silence_about_an_inherited_task_proves_nothing_until_the_worker_saw_the_fence() {
+        let (mut m, _) = machine_with(EntryState::Inherited);
+        assert!(m.digest(&report(1, 1, 8, ""), MINE, Time::from_ms(1)).gone.is_empty());
+        assert_eq!(m.digest(&report(1, 2, 9, ""), MINE, Time::from_ms(2)).gone[0].2, Outcome::Vanished);
+    }
+
+    #[test]
+    fn a_start_counts_until_a_later_report_lacks_it_and_only_then_can_be_dropped() {
+        let (mut m, task) = machine_with(EntryState::Ready);
+        let first = report(1, 5, 9, "");
+        m.digest(&first, MINE, Time::from_ms(1));
+        assert_eq!(m.orders(&first, true, |_| false).len(), 1);
+        assert!(m.stop(&task, 0.0, Time::from_ms(2)).is_none(), "sent: needs proof");
+        assert!(m.digest(&report(1, 4, 9, ""), MINE, Time::from_ms(3)).stale);
+        let gone = m.digest(&report(1, 6, 9, ""), MINE, Time::from_ms(4)).gone;
+        assert_eq!(gone[0].2, Outcome::NeverStarted);
+    }
+
+    #[test]
+    fn nothing_starts_before_it_is_durable_nor_without_leadership() {
+        let (mut m, _) = machine_with(EntryState::Planned);
+        let r = report(1, 1, 9, "");
+        assert!(m.orders(&r, true, |_| false).is_empty());
+        let (mut m, _) = machine_with(EntryState::Ready);
+        assert!(m.orders(&r, false, |_| false).is_empty());
+    }
+
+    #[test]
+    fn a_done_task_is_not_forgotten_before_it_is_recorded() {
+        let (mut m, task) = machine_with(EntryState::Running);
+        let r = report(1, 1, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"done"}"#);
+        assert_eq!(m.digest(&r, MINE, Time::from_ms(1)).done.len(), 1);
+        assert!(m.orders(&r, true, |_| false).is_empty());
+        m.entries.remove(&task);
+        assert_eq!(m.orders(&r, true, |_| false), [Order::Forget { task, attempt: Attempt(7) }]);
+    }
+
+    #[test]
+    fn tasks_the_ledger_does_not_know_are_stopped_and_block_the_machine() {
+        let (mut m, _) = machine_with(EntryState::Running);
+        let r = report(1, 1, 9, r#"{"shard":"req-1/0","try":6,"phase":"running"}"#);
+        let digest = m.digest(&r, MINE, Time::from_ms(1));
+        assert_eq!(digest.gone.len(), 1, "attempt 7 is not there");
+        assert!(!m.open_for_tasks(Time::from_ms(1)));
+        assert!(matches!(m.orders(&r, true, |_| false)[..], [Order::Stop { attempt: Attempt(6), .. }]));
+    }
+}
