--- a/src/gangs/mod.rs
+++ b/src/gangs/mod.rs
@@ -16,7 +16,7 @@
     pub fn new(fence: Fence) -> Self {
         Self { next: fence.0 << COUNTER_BITS }
     }
-    pub fn next(&mut self) -> Attempt {
+    pub fn issue(&mut self) -> Attempt {
         self.next += 1;
         Attempt(self.next)
     }
@@ -40,7 +40,7 @@
     #[test]
     fn attempts_of_a_later_leader_are_later() {
         let mut a = Attempts::new(Fence(5));
-        let (x, y) = (a.next(), a.next());
-        assert!(x < y && y < Attempts::new(Fence(6)).next());
+        let (x, y) = (a.issue(), a.issue());
+        assert!(x < y && y < Attempts::new(Fence(6)).issue());
     }
 }
--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -101,7 +101,7 @@
     }
 
     /// The next transaction, if there is something to write and none is in flight.
-    pub fn next(&mut self) -> Option<Batch> {
+    pub fn next_batch(&mut self) -> Option<Batch> {
         if self.in_flight.is_some() {
             return None;
         }
@@ -174,27 +174,27 @@
         let mut j = Journal::new("leader", Fence(9), 4);
         j.loaded("m/a", Stamp(3));
         let v1 = j.put("m/a", Some("1".into()), false);
-        let first = j.next().expect("work");
+        let first = j.next_batch().expect("work");
         assert_eq!(first.conditions, [("leader".to_string(), Stamp(9)), ("m/a".to_string(), Stamp(3))]);
-        assert!(j.next().is_none(), "one in flight at a time");
+        assert!(j.next_batch().is_none(), "one in flight at a time");
         let v2 = j.put("m/a", Some("2".into()), false);
         j.failed();
-        let second = j.next().expect("work");
+        let second = j.next_batch().expect("work");
         assert_eq!(second.conditions, first.conditions, "so that only one of them can be applied");
         assert_eq!(j.committed(12).keys, [("m/a".to_string(), v2)]);
-        assert!(v1 < v2 && j.next().is_none());
+        assert!(v1 < v2 && j.next_batch().is_none());
         j.put("m/a", None, false);
-        assert_eq!(j.next().expect("work").conditions[1].1, Stamp(12));
+        assert_eq!(j.next_batch().expect("work").conditions[1].1, Stamp(12));
     }
 
     #[test]
     fn a_change_made_while_its_key_is_in_flight_is_written_too() {
         let mut j = Journal::new("leader", Fence(9), 4);
         j.put("m/a", Some("1".into()), false);
-        j.next().expect("work");
+        j.next_batch().expect("work");
         let v2 = j.put("m/a", Some("2".into()), false);
         j.committed(10);
-        let batch = j.next().expect("the second change");
+        let batch = j.next_batch().expect("the second change");
         assert_eq!(batch.conditions[1].1, Stamp(10));
         assert_eq!(j.committed(11).keys, [("m/a".to_string(), v2)]);
     }
--- a/src/node/master.rs
+++ b/src/node/master.rs
@@ -884,7 +884,7 @@
         if gang && (placements.len() < spec.tasks as usize || !run.placed.is_empty()) {
             return 0;
         }
-        let attempt = self.attempts.next();
+        let attempt = self.attempts.issue();
         let mut placed = Vec::new();
         for (index, machine) in placements {
             let task = TaskId { job: ask.job.clone(), index };
@@ -894,7 +894,7 @@
                 }
                 continue;
             }
-            let attempt = if gang { attempt } else { self.attempts.next() };
+            let attempt = if gang { attempt } else { self.attempts.issue() };
             let Some(m) = self.machines.get_mut(&machine) else { continue };
             m.entries.insert(
                 task.clone(),
@@ -1516,17 +1516,17 @@
         master.write_records();
         if master.correcting == 0 && now >= master.commit_not_before && master.journal.idle() {
             let most = master.settings.state.txn_ops as f64;
-            if master.journal.backlog() > 0 && master.writes.take(most.min(4.0), now) {
-                if let Some(batch) = master.journal.next() {
-                    let extra = batch.changes.len() as f64 - 4.0;
-                    if extra > 0.0 {
-                        master.writes.take(extra, now);
-                    }
-                    let fence = master.fence;
-                    let request =
-                        StateRequest::Commit { conditions: batch.conditions, changes: batch.changes };
-                    self.ask_state(request, Pending::Master(fence, MasterOp::Commit));
+            if master.journal.backlog() > 0
+                && master.writes.take(most.min(4.0), now)
+                && let Some(batch) = master.journal.next_batch()
+            {
+                let extra = batch.changes.len() as f64 - 4.0;
+                if extra > 0.0 {
+                    master.writes.take(extra, now);
                 }
+                let fence = master.fence;
+                let request = StateRequest::Commit { conditions: batch.conditions, changes: batch.changes };
+                self.ask_state(request, Pending::Master(fence, MasterOp::Commit));
             }
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -419,7 +419,7 @@
     ] {
         c.share(key, v);
     }
-    if !(o.unreachable_reports >= o.degraded_reports) {
+    if o.unreachable_reports.is_nan() || o.unreachable_reports < o.degraded_reports {
         c.fault("unreachable_reports", "must be at least degraded_reports");
     }
     if !(o.lost_reports >= o.unreachable_reports && o.lost_reports >= 2.0) {
