--- a/src/node/master.rs
+++ b/src/node/master.rs
@@ -1580,11 +1580,10 @@
             return; // an answer that came too late
         }
         let Some(offer) = master.offers.remove(from) else { return };
+        // A block cut anew since then may have given its machines to somebody else.
         let current = master.blocks.get(from).is_some_and(|b| b.id == block);
         let proposals = if current && valid { proposals } else { Vec::new() };
-        if current {
-            master.close_round(from, offer.asks, proposals, now);
-        }
+        master.close_round(from, offer.asks, proposals, now);
     }
 
     fn late_rounds(&mut self) {
@@ -1603,6 +1602,8 @@
             if let Some(offer) = master.offers.remove(&node) {
                 for ask in offer.asks {
                     if let Some(run) = master.runs.get_mut(&ask.job) {
+                        // Lost with the answer: it must be offered anew, here.
+                        run.offered = 0;
                         run.home = me.clone();
                     }
                 }
@@ -1657,3 +1658,35 @@
         serde_json::to_string(&lines).unwrap_or_default()
     }
 }
+
+/// Ways to take a guard out of the core, for proving that the test world's checker notices.
+#[cfg(test)]
+impl Core {
+    pub(super) fn sabotage_forget_silent(&mut self, ms: u64) {
+        let now = self.now;
+        let Some(master) = &mut self.master else { return };
+        let mut gone = Vec::new();
+        for m in master.machines.values_mut() {
+            if m.last_report.is_some_and(|at| now.since(at) > Span::ms(ms)) {
+                gone.extend(std::mem::take(&mut m.entries).into_keys());
+            }
+        }
+        for task in gone {
+            if let Some(run) = master.runs.get_mut(&task.job) {
+                run.placed.remove(&task.index);
+            }
+            master.room_version += 1;
+        }
+    }
+
+    pub(super) fn sabotage_done_early(&mut self) {
+        let Some(master) = &mut self.master else { return };
+        for run in master.runs.values_mut().filter(|r| r.done.count() * 2 >= r.job.spec.tasks) {
+            if run.done.count() > 0 {
+                (0..run.job.spec.tasks).for_each(|i| {
+                    run.done.add(i);
+                });
+            }
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,8 @@
 mod core;
 mod master;
 pub mod shell;
+#[cfg(test)]
+mod world;
 
 pub use self::core::Core;
 
--- /dev/null
+++ b/src/node/world/mod.rs
@@ -0,0 +1,546 @@
+//! The seeded test world: three cores against stand-ins of the state service, the cloud, workers
+//! and users, with delays, late delivery, cuts, crashes, hangs and outages. `rules` checks every
+//! rule after each step, from what the stand-ins see and never from the cores' own books.
+
+mod cloud;
+mod rules;
+mod state;
+mod tests;
+mod workers;
+
+use super::{Core, Effect, Input, Method, Now};
+use crate::settings::{Settings, parse};
+use crate::types::{OpId, Time, Wall};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rules::Rules;
+use serde_json::{Value, json};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+
+pub const NODES: usize = 3;
+const TICK: u64 = 50;
+
+/// An end of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Host {
+    Node(usize),
+    State,
+    Cloud,
+    Machine(usize),
+    User,
+}
+
+/// What happens at a set time.
+#[derive(Debug)]
+pub enum Event {
+    Tick(usize, u64),
+    /// An input for node life `.1` of node `.0`.
+    Input(usize, u64, Input),
+    State {
+        from: usize,
+        life: u64,
+        op: OpId,
+        request: crate::wire::state::StateRequest,
+    },
+    WatchEnds(u64),
+    Cloud {
+        from: usize,
+        life: u64,
+        op: OpId,
+        request: crate::wire::cloud::CloudRequest,
+    },
+    Direct {
+        from: usize,
+        life: u64,
+        op: OpId,
+        addr: String,
+        body: String,
+    },
+    Timeout {
+        node: usize,
+        life: u64,
+        op: OpId,
+        kind: Kind,
+    },
+    Restart(usize),
+    Worker(usize),
+    ReportAnswer {
+        machine: usize,
+        session: u64,
+        sent: u64,
+        node: usize,
+        status: u16,
+        body: String,
+        report: u64,
+    },
+    ReportTimeout {
+        machine: usize,
+        report: u64,
+    },
+    User(usize),
+    UserAnswer {
+        user: usize,
+        ask: u64,
+        status: u16,
+        body: String,
+    },
+    UserTimeout {
+        user: usize,
+        ask: u64,
+    },
+    Fault(Fault),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Kind {
+    State,
+    Cloud,
+    Worker,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fault {
+    Crash(usize),
+    StateOutage(bool),
+    Refuse(usize, bool),
+    /// Cuts (true) or mends a link both ways; `late`: what was sent meanwhile arrives after.
+    Cut {
+        a: Host,
+        b: Host,
+        on: bool,
+        late: bool,
+    },
+    CloudOutage(bool),
+    MachineDies,
+    MachineHangs(u64),
+    SpotNotice,
+}
+
+/// Who waits for the answer to a request at a node.
+#[derive(Debug)]
+enum Asker {
+    User { user: usize, ask: u64 },
+    Worker { machine: usize, session: u64, sent: u64, report: u64 },
+}
+
+pub struct Node {
+    pub core: Option<Core>,
+    pub life: u64,
+    askers: BTreeMap<OpId, Asker>,
+    next_request: u64,
+    open_ops: BTreeSet<OpId>,
+}
+
+/// A user with one job.
+#[derive(Debug)]
+pub struct User {
+    pub id: String,
+    pub body: Value,
+    pub withdraw_at: Option<u64>,
+    ask: u64,
+    pub stage: Stage,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Stage {
+    Submitting,
+    Polling,
+    Withdrawing,
+    Over,
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: StdRng,
+    seq: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<(u64, u64), Event>,
+    pub settings: Vec<Arc<Settings>>,
+    pub nodes: Vec<Node>,
+    pub state: state::Service,
+    pub cloud: cloud::Cloud,
+    pub workers: Vec<workers::Worker>,
+    pub users: Vec<User>,
+    cuts: BTreeMap<(Host, Host), bool>,
+    /// Held back by a cut, per link.
+    held: Vec<(Host, Host, Event)>,
+    pub rules: Rules,
+    /// Takes a guard out of a core after each of its steps.
+    pub sabotage: Option<fn(&mut Core, u64)>,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let settings: Vec<Arc<Settings>> = (0..NODES).map(|i| Arc::new(settings_of(i))).collect();
+        let mut w = Self {
+            now: 0,
+            rng: StdRng::seed_from_u64(seed),
+            seq: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            nodes: Vec::new(),
+            state: state::Service::default(),
+            cloud: cloud::Cloud::default(),
+            workers: Vec::new(),
+            users: Vec::new(),
+            cuts: BTreeMap::new(),
+            held: Vec::new(),
+            rules: Rules::new(settings[0].workers.cancel_s, &settings[0].teams),
+            sabotage: None,
+            settings,
+        };
+        for i in 0..NODES {
+            let empty = Node {
+                core: None,
+                life: 0,
+                askers: BTreeMap::new(),
+                next_request: 0,
+                open_ops: BTreeSet::new(),
+            };
+            w.nodes.push(empty);
+            let at = w.rng_ms(1, 300);
+            w.at(at, Event::Restart(i));
+        }
+        w
+    }
+
+    pub fn rng_ms(&mut self, from: u64, to: u64) -> u64 {
+        self.rng.random_range(from..to)
+    }
+
+    pub fn at(&mut self, time: u64, event: Event) {
+        self.seq += 1;
+        let key = (time.max(self.now), self.seq);
+        self.queue.push(Reverse(key));
+        self.events.insert(key, event);
+    }
+
+    fn after(&mut self, ms: u64, event: Event) {
+        self.at(self.now + ms, event);
+    }
+
+    fn is_cut(&self, a: Host, b: Host) -> Option<bool> {
+        self.cuts.get(&(a.min(b), a.max(b))).copied()
+    }
+
+    /// Sends over a link: with a delay, held back by a cut, or lost in it.
+    pub fn send(&mut self, a: Host, b: Host, event: Event) {
+        match self.is_cut(a, b) {
+            Some(true) => self.held.push((a, b, event)),
+            Some(false) => {}
+            None => {
+                let slow = self.rng.random_bool(0.01);
+                let ms = if slow { self.rng_ms(100, 600) } else { self.rng_ms(1, 8) };
+                self.after(ms, event);
+            }
+        }
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while let Some(Reverse(key)) = self.queue.peek().copied() {
+            if key.0 > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = key.0;
+            let Some(event) = self.events.remove(&key) else { continue };
+            self.handle(event);
+            if !self.rules.broken.is_empty() {
+                return;
+            }
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(i, life) => {
+                if self.nodes[i].core.is_some() && self.nodes[i].life == life {
+                    let drift = self.rng_ms(0, 4);
+                    self.after(TICK + drift, Event::Tick(i, life));
+                    self.step(i, Input::Tick);
+                }
+            }
+            Event::Input(i, life, input) => {
+                if self.nodes[i].core.is_none() || self.nodes[i].life != life {
+                    return;
+                }
+                let op = match &input {
+                    Input::State { op, .. } | Input::Cloud { op, .. } | Input::Worker { op, .. } => Some(*op),
+                    _ => None,
+                };
+                // An answer after the caller gave up reaches nobody.
+                if op.is_none_or(|op| self.nodes[i].open_ops.remove(&op)) {
+                    self.step(i, input);
+                }
+            }
+            Event::Timeout { node, life, op, kind } => {
+                let n = &mut self.nodes[node];
+                if n.life == life && n.open_ops.remove(&op) {
+                    let input = match kind {
+                        Kind::State => Input::State { op, reply: crate::wire::state::StateReply::Unknown },
+                        Kind::Cloud => Input::Cloud { op, reply: crate::wire::cloud::CloudReply::Unknown },
+                        Kind::Worker => Input::Worker { op, status: 0, body: Vec::new() },
+                    };
+                    self.step(node, input);
+                }
+            }
+            Event::State { from, life, op, request } => self.state_request(from, life, op, request),
+            Event::WatchEnds(id) => self.watch_ends(id),
+            Event::Cloud { from, life, op, request } => self.cloud_request(from, life, op, request),
+            Event::Direct { from, life, op, addr, body } => self.direct(from, life, op, &addr, &body),
+            Event::Restart(i) => {
+                let seed = self.rng.random();
+                let node = &mut self.nodes[i];
+                node.life += 1;
+                node.core = Some(Core::new(self.settings[i].clone(), seed));
+                node.askers.clear();
+                node.open_ops.clear();
+                let life = node.life;
+                self.after(1, Event::Tick(i, life));
+            }
+            Event::Worker(m) => self.worker_turn(m),
+            Event::ReportAnswer { machine, session, sent, node, status, body, report } => {
+                self.report_answer(machine, session, sent, node, status, &body, report);
+            }
+            Event::ReportTimeout { machine, report } => self.report_timeout(machine, report),
+            Event::User(u) => self.user_turn(u),
+            Event::UserAnswer { user, ask, status, body } => self.user_answer(user, ask, status, &body),
+            Event::UserTimeout { user, ask } => {
+                if self.users[user].ask == ask {
+                    self.users[user].ask += 1;
+                    let ms = self.rng_ms(1000, 2000);
+                    self.after(ms, Event::User(user));
+                }
+            }
+            Event::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    fn step(&mut self, i: usize, input: Input) {
+        let now =
+            Now { steady: Time::from_ms(1_000_000 + self.now), wall: Wall(1_700_000_000_000 + self.now) };
+        let life = self.nodes[i].life;
+        let Some(core) = &mut self.nodes[i].core else { return };
+        let effects = core.step(now, input);
+        if let Some(sabotage) = self.sabotage {
+            sabotage(core, self.now);
+        }
+        for effect in effects {
+            self.effect(i, life, effect);
+        }
+    }
+
+    fn effect(&mut self, i: usize, life: u64, effect: Effect) {
+        let host = Host::Node(i);
+        let opens = |node: &mut Node, op: OpId| {
+            node.open_ops.insert(op);
+        };
+        match effect {
+            Effect::Answer { request, status, body, .. } => {
+                let event = match self.nodes[i].askers.remove(&request) {
+                    Some(Asker::User { user, ask }) => {
+                        (Host::User, Event::UserAnswer { user, ask, status, body })
+                    }
+                    Some(Asker::Worker { machine, session, sent, report }) => (
+                        Host::Machine(machine),
+                        Event::ReportAnswer { machine, session, sent, node: i, status, body, report },
+                    ),
+                    None => return,
+                };
+                self.send(host, event.0, event.1);
+            }
+            Effect::Peer { to, bytes } => {
+                let Some(j) = self.settings.iter().position(|s| s.node == to) else { return };
+                let Some(envelope) = crate::blocks::decode(&bytes) else { return };
+                let life = self.nodes[j].life;
+                self.send(host, Host::Node(j), Event::Input(j, life, Input::Peer(envelope)));
+            }
+            Effect::State { op, request, patience } => {
+                opens(&mut self.nodes[i], op);
+                self.after(patience.0, Event::Timeout { node: i, life, op, kind: Kind::State });
+                self.send(host, Host::State, Event::State { from: i, life, op, request });
+            }
+            Effect::Cloud { op, request, patience } => {
+                opens(&mut self.nodes[i], op);
+                self.after(patience.0, Event::Timeout { node: i, life, op, kind: Kind::Cloud });
+                self.send(host, Host::Cloud, Event::Cloud { from: i, life, op, request });
+            }
+            Effect::Worker { op, addr, body } => {
+                opens(&mut self.nodes[i], op);
+                self.after(3000, Event::Timeout { node: i, life, op, kind: Kind::Worker });
+                if let Some(m) = self.workers.iter().position(|w| w.addr == addr) {
+                    self.send(host, Host::Machine(m), Event::Direct { from: i, life, op, addr, body });
+                }
+            }
+        }
+    }
+
+    /// Hands a request to a node, as one that came over HTTP; false: the connection fails.
+    fn request(
+        &mut self,
+        i: usize,
+        asker: Asker,
+        from: Host,
+        method: Method,
+        path: String,
+        body: String,
+    ) -> bool {
+        if self.nodes[i].core.is_none() || self.is_cut(from, Host::Node(i)) == Some(false) {
+            return false;
+        }
+        let node = &mut self.nodes[i];
+        node.next_request += 1;
+        let request = OpId(node.next_request);
+        node.askers.insert(request, asker);
+        let life = node.life;
+        let input = Input::Http { request, method, path, body: body.into_bytes() };
+        self.send(from, Host::Node(i), Event::Input(i, life, input));
+        true
+    }
+
+    // ---- users ----
+
+    pub fn add_user(&mut self, at: u64, body: Value, withdraw_at: Option<u64>) {
+        let id = body["id"].as_str().unwrap_or_default().to_string();
+        self.users.push(User { id, body, withdraw_at, ask: 0, stage: Stage::Submitting });
+        self.at(at, Event::User(self.users.len() - 1));
+    }
+
+    fn user_turn(&mut self, u: usize) {
+        let now = self.now;
+        let user = &mut self.users[u];
+        if user.stage == Stage::Polling && user.withdraw_at.is_some_and(|t| t <= now) {
+            user.stage = Stage::Withdrawing;
+            self.rules.asked_to_withdraw(&self.users[u].id);
+        }
+        let user = &mut self.users[u];
+        user.ask += 1;
+        let ask = user.ask;
+        let (method, path, body) = match user.stage {
+            Stage::Submitting => (Method::Post, "/submissions".to_string(), user.body.to_string()),
+            Stage::Withdrawing => (Method::Post, format!("/submissions/{}/withdraw", user.id), String::new()),
+            _ => (Method::Get, format!("/submissions/{}", user.id), String::new()),
+        };
+        if user.stage == Stage::Submitting {
+            self.rules.submitted(&user.id, &user.body);
+        }
+        let i = self.rng.random_range(0..NODES);
+        let patience = if self.users[u].stage == Stage::Polling { 2000 } else { 5000 };
+        if self.request(i, Asker::User { user: u, ask }, Host::User, method, path, body) {
+            self.after(patience, Event::UserTimeout { user: u, ask });
+        } else {
+            let ms = self.rng_ms(1000, 2000);
+            self.after(ms, Event::User(u));
+        }
+    }
+
+    fn user_answer(&mut self, u: usize, ask: u64, status: u16, body: &str) {
+        if self.users[u].ask != ask {
+            return;
+        }
+        self.users[u].ask += 1;
+        let user = &mut self.users[u];
+        let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let phase = value["phase"].as_str().unwrap_or_default().to_string();
+        self.rules.answered(self.now, &user.id, user.stage == Stage::Submitting, status, &phase);
+        if matches!(status, 200 | 201) {
+            user.stage = match (user.stage, phase.as_str()) {
+                (_, "done" | "withdrawn") => Stage::Over,
+                (Stage::Submitting, _) => Stage::Polling,
+                (stage, _) => stage,
+            };
+        }
+        let pause = match user.stage {
+            // Users may ask again at any later time.
+            Stage::Over => 20_000,
+            Stage::Polling => 2_000,
+            _ => 1_200,
+        };
+        let ms = self.rng_ms(pause / 2, pause);
+        self.after(ms, Event::User(u));
+    }
+
+    // ---- faults ----
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Crash(i) => {
+                if self.nodes[i].core.take().is_some() {
+                    let ms = self.rng_ms(1000, 4000);
+                    self.after(ms, Event::Restart(i));
+                }
+            }
+            Fault::StateOutage(on) => self.state.outage(on, self.now),
+            Fault::Refuse(i, on) => {
+                if on {
+                    self.state.refused.insert(i);
+                } else {
+                    self.state.refused.remove(&i);
+                }
+            }
+            Fault::Cut { a, b, on, late } => {
+                let link = (a.min(b), a.max(b));
+                if on {
+                    self.cuts.insert(link, late);
+                } else {
+                    self.cuts.remove(&link);
+                    let (out, keep): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held)
+                        .into_iter()
+                        .partition(|(x, y, _)| (*x.min(y), *x.max(y)) == link);
+                    self.held = keep;
+                    for (n, (_, _, event)) in out.into_iter().enumerate() {
+                        self.after(1 + n as u64 / 50, event);
+                    }
+                }
+            }
+            Fault::CloudOutage(on) => self.cloud.outage = on,
+            Fault::MachineDies => {
+                if let Some(m) = self.any_machine(|_| true) {
+                    self.machine_ends(m);
+                    self.cloud.fail(&self.workers[m].id, self.now);
+                }
+            }
+            Fault::MachineHangs(ms) => {
+                if let Some(m) = self.any_machine(|_| true) {
+                    self.workers[m].hung_until = self.now + ms;
+                }
+            }
+            Fault::SpotNotice => {
+                if let Some(m) = self.any_machine(|w| w.spot) {
+                    self.workers[m].taken_at = Some(self.now + 8_000);
+                }
+            }
+        }
+    }
+
+    fn any_machine(&mut self, ok: impl Fn(&workers::Worker) -> bool) -> Option<usize> {
+        let up: Vec<usize> =
+            (0..self.workers.len()).filter(|m| self.workers[*m].up && ok(&self.workers[*m])).collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+}
+
+fn settings_of(i: usize) -> Settings {
+    let mut text = format!(
+        "node = \"n{i}\"\nsite = \"z{i}\"\napi_addr = \"10.0.0.{i}:8080\"\nback = \"10.0.0.{i}:8081\"\n"
+    );
+    for j in (0..NODES).filter(|j| *j != i) {
+        text += &format!("[[seeds]]\nnode = \"n{j}\"\nsite = \"z{j}\"\npeer_addr = \"10.0.0.{j}:8081\"\n");
+    }
+    let sample = crate::settings::tests::SAMPLE;
+    text += &sample[sample.find("[outside]").unwrap_or(0)..];
+    let operator = "idle_return_s: 20\nrefusal_pause_s: 3\n";
+    parse(("test", &text), Some(("operator".into(), operator))).expect("the test settings are valid")
+}
+
+/// A submission; the caller changes what it needs.
+pub fn job(n: usize, shape: &str, tasks: u32) -> Value {
+    json!({"id": format!("req-{n:06}"), "job_class": format!("c-{shape}"), "owner": if n.is_multiple_of(2) { "red" } else { "blue" },
+        "shape": shape, "urgency": if shape == "daemon" { "production" } else { "normal" }, "shards": tasks,
+        "vcpus": 2.0, "accelerators": 1.0, "memory_gb": 4.0, "bundle": format!("img-{}", n % 3), "image_gb": 1.0,
+        "flavors": null, "region": null, "together": false, "spread": false, "preemptible": true, "expected_s": 6.0,
+        "snapshot_every_s": if shape == "daemon" { 0.0 } else { 2.0 }, "snapshot_s": 1.0, "due_s": null})
+}
--- /dev/null
+++ b/src/node/world/rules.rs
@@ -0,0 +1,190 @@
+//! Every rule of the protocol, checked from what stand-ins see.
+
+use super::World;
+use super::workers::Worker;
+use crate::settings::Team;
+use crate::types::{MachineId, TeamName};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug, Default)]
+struct Told {
+    accepted: bool,
+    verdict: Option<String>,
+    withdrawn_at: Option<u64>,
+    withdraw_asked: bool,
+}
+
+pub struct Rules {
+    pub broken: Vec<String>,
+    cancel_ms: u64,
+    limits: BTreeMap<String, f64>,
+    bodies: BTreeMap<String, Value>,
+    done: BTreeMap<String, BTreeSet<u64>>,
+    told: BTreeMap<String, Told>,
+    pub started: u64,
+}
+
+fn split(task: &str) -> (&str, u64) {
+    let (job, index) = task.rsplit_once('/').unwrap_or((task, "0"));
+    (job, index.parse().unwrap_or(0))
+}
+
+impl Rules {
+    pub fn new(cancel_s: f64, teams: &BTreeMap<TeamName, Team>) -> Self {
+        Self {
+            broken: Vec::new(),
+            cancel_ms: (cancel_s * 1000.0) as u64,
+            limits: teams.iter().map(|(n, t)| (n.to_string(), t.max_gpus.unwrap_or(f64::MAX))).collect(),
+            bodies: BTreeMap::new(),
+            done: BTreeMap::new(),
+            told: BTreeMap::new(),
+            started: 0,
+        }
+    }
+
+    pub fn body(&self, job: &str) -> Option<Value> {
+        self.bodies.get(job).cloned()
+    }
+    pub fn submitted(&mut self, id: &str, body: &Value) {
+        self.bodies.insert(id.into(), body.clone());
+    }
+    pub fn asked_to_withdraw(&mut self, id: &str) {
+        self.told.entry(id.into()).or_default().withdraw_asked = true;
+    }
+    pub fn task_done(&self, task: &str) -> bool {
+        let (job, index) = split(task);
+        self.done.get(job).is_some_and(|d| d.contains(&index))
+    }
+    pub fn progress(&self, _task: &str) -> u64 {
+        0
+    }
+    pub fn completes(&mut self, task: &str, gang: bool) {
+        let (job, index) = split(task);
+        let n = self.bodies[job]["shards"].as_u64().unwrap_or(1);
+        let done = self.done.entry(job.into()).or_default();
+        if gang {
+            done.extend(0..n);
+        } else {
+            done.insert(index);
+        }
+    }
+    pub fn all_done(&self, job: &str) -> bool {
+        let n = self.bodies.get(job).and_then(|b| b["shards"].as_u64()).unwrap_or(u64::MAX);
+        self.done.get(job).is_some_and(|d| d.len() as u64 >= n)
+    }
+
+    fn fail(&mut self, now: u64, what: String) {
+        self.broken.push(format!("at {now} ms: {what}"));
+    }
+
+    /// A task has its image on a machine and starts.
+    #[allow(clippy::too_many_arguments)]
+    pub fn starts(
+        &mut self,
+        now: u64,
+        machine: &MachineId,
+        type_name: &str,
+        zone: &str,
+        spot: bool,
+        task: &str,
+        workers: &[Worker],
+    ) {
+        self.started += 1;
+        let (job, _) = split(task);
+        let Some(body) = self.body(job) else {
+            return self.fail(now, format!("invented: {task} starts, nobody submitted it"));
+        };
+        let others = |f: &dyn Fn(&Worker, &super::workers::Task) -> bool| {
+            workers
+                .iter()
+                .flat_map(|w| w.tasks.iter().map(move |t| (w, t)))
+                .filter(|(w, t)| t.present() && f(w, t))
+                .count() as u64
+        };
+        if others(&|w, t| t.name == task && w.id != *machine) > 0 {
+            self.fail(now, format!("ran_twice: {task} on {machine} and elsewhere"));
+        }
+        let allowed = body["flavors"].as_array().is_none_or(|f| f.iter().any(|f| f == type_name))
+            && body["region"].as_str().is_none_or(|r| r == zone)
+            && (!spot || body["preemptible"] == true);
+        let mates = |z: bool| others(&|w, t| t.job() == job && t.name != task && (w.zone == zone) == z);
+        let cap = body["shards"].as_u64().unwrap_or(1).div_ceil(2);
+        let spread_ok = body["spread"] != true || mates(true) < cap;
+        let together_ok = body["together"] != true || mates(false) == 0;
+        if !allowed || !spread_ok || !together_ok {
+            self.fail(now, format!("wrong_place: {task} on {machine} ({type_name}, {zone}, spot {spot})"));
+        }
+        if let Some(at) = self.told.get(job).and_then(|t| t.withdrawn_at)
+            && now > at + self.cancel_ms
+        {
+            self.fail(now, format!("ran_cancelled: {task} starts"));
+        }
+    }
+
+    /// An answer reached its user.
+    pub fn answered(&mut self, now: u64, id: &str, submitting: bool, status: u16, phase: &str) {
+        let all_done = self.all_done(id);
+        let t = self.told.entry(id.into()).or_default();
+        let mut bad = Vec::new();
+        match status {
+            200 | 201 => {
+                t.accepted = true;
+                if let Some(v) = &t.verdict
+                    && v != phase
+                {
+                    bad.push(format!("went_back: {id} was {v}, is now {phase}"));
+                }
+                if phase == "done" && !all_done {
+                    bad.push(format!("not_done: {id}"));
+                }
+                if phase == "withdrawn" && !t.withdraw_asked {
+                    bad.push(format!("went_back: nobody withdrew {id}"));
+                }
+                if matches!(phase, "done" | "withdrawn") {
+                    t.verdict = Some(phase.into());
+                    if phase == "withdrawn" {
+                        t.withdrawn_at.get_or_insert(now);
+                    }
+                }
+            }
+            404 if t.accepted => bad.push(format!("forgotten: {id} got 404")),
+            400 | 422 if t.accepted && submitting => bad.push(format!("forgotten: {id} got {status}")),
+            _ => {}
+        }
+        bad.into_iter().for_each(|b| self.fail(now, b));
+    }
+
+    pub fn verdict(&self, id: &str) -> Option<&str> {
+        self.told.get(id).and_then(|t| t.verdict.as_deref())
+    }
+    pub fn accepted(&self, id: &str) -> bool {
+        self.told.get(id).is_some_and(|t| t.accepted)
+    }
+}
+
+impl World {
+    /// Quota and withdrawal, over all tasks that are on a machine now.
+    pub fn check_present(&mut self) {
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        let mut late = Vec::new();
+        for (w, t) in
+            self.workers.iter().flat_map(|w| w.tasks.iter().map(move |t| (w, t))).filter(|(_, t)| t.present())
+        {
+            let Some(body) = self.rules.bodies.get(t.job()) else { continue };
+            let owner = body["owner"].as_str().unwrap_or_default().to_string();
+            *used.entry(owner).or_default() += body["accelerators"].as_f64().unwrap_or(0.0);
+            let told = self.rules.told.get(t.job()).and_then(|t| t.withdrawn_at);
+            if told.is_some_and(|at| self.now > at + self.rules.cancel_ms) && w.hung_until <= self.now {
+                late.push(format!("ran_cancelled: {} on {}", t.name, w.id));
+            }
+        }
+        let now = self.now;
+        late.into_iter().for_each(|l| self.rules.fail(now, l));
+        for (team, used) in used {
+            if used > self.rules.limits.get(&team).copied().unwrap_or(0.0) + 1e-6 {
+                self.rules.fail(now, format!("quota: {team} uses {used}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/world/state.rs
@@ -0,0 +1,193 @@
+//! A stand-in of the state service.
+
+use super::{Event, Host, Input, World};
+use crate::types::{OpId, Permit, Stamp};
+use crate::wire::state::{Change, Event as News, Pair, StateReply, StateRequest};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug)]
+struct Grant {
+    ends: u64,
+    life: u64,
+}
+
+#[derive(Debug)]
+struct Open {
+    from: usize,
+    life: u64,
+    op: OpId,
+    prefix: &'static str,
+    since: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct Service {
+    epoch: u64,
+    keys: BTreeMap<String, (String, Stamp, Option<Permit>)>,
+    grants: BTreeMap<Permit, Grant>,
+    history: Vec<News>,
+    watches: BTreeMap<u64, Open>,
+    next: u64,
+    away: bool,
+    pub refused: BTreeSet<usize>,
+    /// Sabotage: takes every transaction, whatever its conditions.
+    pub careless: bool,
+}
+
+fn news_key(n: &News) -> (&str, Stamp) {
+    match n {
+        News::Put(p) => (&p.key, p.stamp),
+        News::Delete { key, stamp } => (key, *stamp),
+    }
+}
+
+impl Service {
+    pub fn outage(&mut self, on: bool, now: u64) {
+        self.away = on;
+        if !on {
+            self.grants.values_mut().for_each(|g| g.ends = now + g.life);
+        }
+    }
+
+    fn expire(&mut self, now: u64) {
+        if self.away {
+            return;
+        }
+        let ended: Vec<Permit> = self.grants.iter().filter(|(_, g)| g.ends < now).map(|(p, _)| *p).collect();
+        for permit in ended {
+            self.grants.remove(&permit);
+            let keys: Vec<String> =
+                self.keys.iter().filter(|(_, v)| v.2 == Some(permit)).map(|(k, _)| k.clone()).collect();
+            if !keys.is_empty() {
+                self.epoch += 1;
+            }
+            for key in keys {
+                self.keys.remove(&key);
+                self.history.push(News::Delete { key, stamp: Stamp(self.epoch) });
+            }
+        }
+    }
+
+    fn since(&self, prefix: &str, from: u64) -> Vec<News> {
+        let start = self.history.partition_point(|n| news_key(n).1.0 <= from);
+        self.history[start..].iter().filter(|n| news_key(n).0.starts_with(prefix)).cloned().collect()
+    }
+
+    fn commit(&mut self, conditions: &[(String, Stamp)], changes: Vec<Change>) -> StateReply {
+        let stamp = |k: &String| self.keys.get(k).map(|v| v.1).unwrap_or_default();
+        let failed: Vec<String> =
+            conditions.iter().filter(|(k, s)| stamp(k) != *s).map(|(k, _)| k.clone()).collect();
+        let no_grant = changes
+            .iter()
+            .any(|c| matches!(c, Change::Put { permit: Some(p), .. } if !self.grants.contains_key(p)));
+        if no_grant {
+            return StateReply::NoGrant;
+        }
+        if !failed.is_empty() && !self.careless {
+            return StateReply::Conflict { failed };
+        }
+        assert!(changes.len() <= 12 && conditions.len() <= 48, "a transaction over the limit");
+        self.epoch += 1;
+        let stamp = Stamp(self.epoch);
+        for change in changes {
+            match change {
+                Change::Put { key, value, permit } => {
+                    assert!(value.len() <= 16 * 1024, "a value over the limit under {key}");
+                    self.keys.insert(key.clone(), (value.clone(), stamp, permit));
+                    self.history.push(News::Put(Pair { key, value, stamp }));
+                }
+                Change::Delete { key } => {
+                    self.keys.remove(&key);
+                    self.history.push(News::Delete { key, stamp });
+                }
+            }
+        }
+        StateReply::Committed { epoch: self.epoch }
+    }
+
+    fn answer(&mut self, request: StateRequest, now: u64) -> StateReply {
+        match request {
+            StateRequest::Get { key } => match self.keys.get(&key) {
+                Some((value, stamp, _)) => {
+                    StateReply::Found(Pair { key, value: value.clone(), stamp: *stamp })
+                }
+                None => StateReply::Missing { epoch: self.epoch },
+            },
+            StateRequest::Range { prefix, after, most } => {
+                let after = after.unwrap_or_default();
+                let mut pairs: Vec<Pair> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix) && **k > after)
+                    .take(most as usize + 1)
+                    .map(|(k, v)| Pair { key: k.clone(), value: v.0.clone(), stamp: v.1 })
+                    .collect();
+                let more = pairs.len() > most as usize;
+                pairs.truncate(most as usize);
+                StateReply::Pairs { pairs, more, epoch: self.epoch }
+            }
+            StateRequest::Commit { conditions, changes } => self.commit(&conditions, changes),
+            StateRequest::Grant { life_ms } => {
+                self.next += 1;
+                let permit = Permit(self.next);
+                self.grants.insert(permit, Grant { ends: now + life_ms, life: life_ms });
+                StateReply::Granted(permit)
+            }
+            StateRequest::Renew { permit } => match self.grants.get_mut(&permit) {
+                Some(g) => {
+                    g.ends = now + g.life;
+                    StateReply::Renewed
+                }
+                None => StateReply::NoGrant,
+            },
+            StateRequest::Watch { prefix, from, .. } => {
+                StateReply::Events { epoch: self.epoch, events: self.since(prefix, from) }
+            }
+        }
+    }
+}
+
+impl World {
+    fn reply(&mut self, node: usize, life: u64, op: OpId, reply: StateReply) {
+        self.send(Host::State, Host::Node(node), Event::Input(node, life, Input::State { op, reply }));
+    }
+
+    pub fn state_request(&mut self, from: usize, life: u64, op: OpId, request: StateRequest) {
+        let now = self.now;
+        self.state.expire(now);
+        if self.state.away || self.state.refused.contains(&from) {
+            return self.reply(from, life, op, StateReply::Refused);
+        }
+        if let StateRequest::Watch { prefix, from: since, block_ms } = &request
+            && *block_ms > 0
+            && self.state.since(prefix, *since).is_empty()
+        {
+            self.state.next += 1;
+            let id = self.state.next;
+            self.state.watches.insert(id, Open { from, life, op, prefix, since: *since });
+            return self.after(*block_ms, Event::WatchEnds(id));
+        }
+        let answer = self.state.answer(request, now);
+        self.reply(from, life, op, answer);
+        let due: Vec<u64> = self
+            .state
+            .watches
+            .iter()
+            .filter(|(_, w)| !self.state.refused.contains(&w.from))
+            .filter(|(_, w)| !self.state.since(w.prefix, w.since).is_empty())
+            .map(|(id, _)| *id)
+            .collect();
+        due.into_iter().for_each(|id| self.watch_ends(id));
+    }
+
+    pub fn watch_ends(&mut self, id: u64) {
+        if self.state.away {
+            return self.after(200, Event::WatchEnds(id));
+        }
+        if let Some(w) = self.state.watches.remove(&id) {
+            let events = self.state.since(w.prefix, w.since);
+            let epoch = self.state.epoch;
+            self.reply(w.from, w.life, w.op, StateReply::Events { epoch, events });
+        }
+    }
+}
--- /dev/null
+++ b/src/node/world/tests.rs
@@ -0,0 +1,158 @@
+//! Seeded runs. A failing seed is printed with what broke.
+
+#![cfg(test)]
+
+use super::{Event, Fault, Host, NODES, Stage, World, job};
+use crate::node::Core;
+use rand::RngExt;
+
+/// A day with jobs of all shapes; `faults` adds its troubles.
+fn day(seed: u64, faults: impl FnOnce(&mut World)) -> World {
+    let mut w = World::new(seed);
+    for n in 0..14 {
+        let shape = ["array", "ensemble", "daemon"][n % 3];
+        let tasks = w.rng.random_range(1..5);
+        let mut body = job(n, shape, tasks);
+        body["together"] = (n % 4 == 1).into();
+        body["spread"] = (n % 5 == 2 && n % 4 != 1).into();
+        body["preemptible"] = (n % 2 == 0).into();
+        body["expected_s"] = w.rng.random_range(2.0..15.0).into();
+        let at = w.rng_ms(500, 50_000);
+        let gone = w.rng.random_bool(0.35).then(|| at + 5_000 + w.rng.random_range(0..30_000));
+        w.add_user(at, body, gone);
+    }
+    faults(&mut w);
+    w
+}
+
+const TROUBLE_ENDS: u64 = 90_000;
+const DAY_ENDS: u64 = 190_000;
+
+fn for_a_while(w: &mut World, most: u64, on: Fault, off: Fault) {
+    let from = w.rng_ms(5_000, 70_000);
+    let to = (from + w.rng.random_range(1_000..most)).min(TROUBLE_ENDS);
+    w.at(from, Event::Fault(on));
+    w.at(to, Event::Fault(off));
+}
+
+fn troubles(w: &mut World) {
+    for _ in 0..w.rng.random_range(3..9) {
+        let i = w.rng.random_range(0..NODES);
+        let j = (i + w.rng.random_range(1..NODES)) % NODES;
+        let late = w.rng.random_bool(0.5);
+        let cut = |a, b, on| Fault::Cut { a, b, on, late };
+        let at = w.rng_ms(5_000, 80_000);
+        match w.rng.random_range(0..10) {
+            0 => w.at(at, Event::Fault(Fault::Crash(i))),
+            1 => (0..NODES).for_each(|i| w.at(at + i as u64, Event::Fault(Fault::Crash(i)))),
+            2 => for_a_while(w, 25_000, Fault::StateOutage(true), Fault::StateOutage(false)),
+            3 => for_a_while(w, 40_000, Fault::Refuse(i, true), Fault::Refuse(i, false)),
+            4 => for_a_while(
+                w,
+                40_000,
+                cut(Host::Node(i), Host::State, true),
+                cut(Host::Node(i), Host::State, false),
+            ),
+            5 => for_a_while(
+                w,
+                40_000,
+                cut(Host::Node(i), Host::Node(j), true),
+                cut(Host::Node(i), Host::Node(j), false),
+            ),
+            6 => (0..20).for_each(|m| {
+                let (a, b) = (Host::Node(i), Host::Machine(m));
+                w.at(at, Event::Fault(cut(a, b, true)));
+                w.at((at + 30_000).min(TROUBLE_ENDS), Event::Fault(cut(a, b, false)));
+            }),
+            7 => w.at(at, Event::Fault(Fault::MachineDies)),
+            8 => {
+                let ms = w.rng.random_range(2_000..40_000);
+                w.at(at, Event::Fault(Fault::MachineHangs(ms)));
+            }
+            _ => w.at(at, Event::Fault(Fault::SpotNotice)),
+        }
+    }
+    for_a_while(w, 20_000, Fault::CloudOutage(true), Fault::CloudOutage(false));
+}
+
+fn run(seed: u64, mut w: World) {
+    w.run_until(DAY_ENDS);
+    assert!(w.rules.broken.is_empty(), "seed {seed}: {:?}", w.rules.broken);
+    assert!(w.rules.started > 0, "seed {seed}: nothing ran");
+    // Printed when an assertion below fails.
+    for node in w.nodes.iter().filter_map(|n| n.core.as_ref()) {
+        println!("seed {seed}: waiting: {}\n{}", node.waiting_report(), node.metrics());
+    }
+    let open: Vec<&str> = w
+        .users
+        .iter()
+        .filter(|u| u.body["shape"] != "daemon" && w.rules.accepted(&u.id))
+        .filter(|u| w.rules.verdict(&u.id).is_none())
+        .map(|u| u.id.as_str())
+        .collect();
+    assert!(open.is_empty(), "seed {seed}: not done long after the last trouble: {open:?}");
+    for u in w.users.iter().filter(|u| u.body["shape"] == "daemon" && u.stage == Stage::Polling) {
+        let up = w.workers.iter().flat_map(|w| &w.tasks).filter(|t| t.job() == u.id && t.present()).count();
+        assert_eq!(up as u64, u.body["shards"].as_u64().unwrap_or(0), "seed {seed}: {} lacks replicas", u.id);
+    }
+}
+
+#[test]
+fn quiet_days_keep_the_rules_and_finish_everything() {
+    for seed in 0..6 {
+        run(seed, day(seed, |_| {}));
+    }
+}
+
+#[test]
+fn troubled_days_keep_the_rules_and_recover() {
+    // PEARFORD_SEEDS=1000 looks further than a landing has time for.
+    let more = std::env::var("PEARFORD_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(40);
+    for seed in 100..100 + more {
+        run(seed, day(seed, troubles));
+    }
+}
+
+#[test]
+fn all_nodes_crash_during_an_outage() {
+    for seed in 200..206 {
+        run(
+            seed,
+            day(seed, |w| {
+                w.at(20_000, Event::Fault(Fault::StateOutage(true)));
+                (0..NODES).for_each(|i| w.at(30_000 + 40 * i as u64, Event::Fault(Fault::Crash(i))));
+                w.at(42_000, Event::Fault(Fault::StateOutage(false)));
+            }),
+        );
+    }
+}
+
+/// Whether some seed of a few breaks a rule under `faults` and a spoilt `world`.
+fn checker_notices(spoil: impl Fn(&mut World)) -> bool {
+    (300..330).any(|seed| {
+        let mut w = day(seed, troubles);
+        spoil(&mut w);
+        w.run_until(DAY_ENDS);
+        !w.rules.broken.is_empty()
+    })
+}
+
+#[test]
+fn the_checker_notices_a_guard_taken_out_of_the_core() {
+    // Proof by silence: entries of a machine silent for 4 s are dropped as if they were gone.
+    fn forget_silent(core: &mut Core, _: u64) {
+        core.sabotage_forget_silent(4_000);
+    }
+    assert!(checker_notices(|w| w.sabotage = Some(forget_silent)));
+    // Done as soon as half of the tasks are.
+    fn done_early(core: &mut Core, _: u64) {
+        core.sabotage_done_early();
+    }
+    assert!(checker_notices(|w| w.sabotage = Some(done_early)));
+}
+
+#[test]
+fn the_checker_notices_a_world_that_breaks_its_word() {
+    assert!(checker_notices(|w| w.cloud.lazy = true), "released machines that go on");
+    assert!(checker_notices(|w| w.state.careless = true), "transactions without conditions");
+}
--- /dev/null
+++ b/src/node/world/workers.rs
@@ -0,0 +1,409 @@
+//! A stand-in of the workers, written from the protocol alone: it reads and writes JSON.
+
+use super::{Asker, Event, Host, Input, Method, NODES, World};
+use crate::types::{MachineId, OpId};
+use crate::wire::cloud::ListedMachine;
+use rand::RngExt;
+use serde_json::{Value, json};
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum State {
+    Fetching { until: u64 },
+    Waiting { since: u64 },
+    Running { left: u64, kept: u64 },
+    Saving { until: u64 },
+    Exited { cause: &'static str, kept: bool },
+}
+
+#[derive(Debug, Clone)]
+pub struct Task {
+    pub name: String,
+    pub attempt: u64,
+    pub state: State,
+    at: u64,
+}
+
+impl Task {
+    pub fn job(&self) -> &str {
+        self.name.split('/').next().unwrap_or_default()
+    }
+    /// Whether the task is on its machine: from having its image until it exits.
+    pub fn present(&self) -> bool {
+        !matches!(self.state, State::Fetching { .. } | State::Exited { .. })
+    }
+}
+
+#[derive(Debug)]
+pub struct Worker {
+    pub id: MachineId,
+    pub addr: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub boots_at: u64,
+    pub up: bool,
+    pub hung_until: u64,
+    pub taken_at: Option<u64>,
+    session: u64,
+    session_began: u64,
+    serial: u64,
+    pub fence: u64,
+    pub tasks: Vec<Task>,
+    node: usize,
+    next_report: u64,
+    in_flight: Option<u64>,
+    reports: u64,
+    answered_sent: u64,
+    /// Sabotage: obeys any token.
+    pub gullible: bool,
+}
+
+const STEP: u64 = 100;
+
+impl Worker {
+    fn on_room(&self, body: impl Fn(&str) -> Option<Value>) -> (f64, f64) {
+        self.tasks.iter().filter(|t| !matches!(t.state, State::Exited { .. })).fold(
+            (0.0, 0.0),
+            |(c, g), t| {
+                let b = body(t.job()).unwrap_or(Value::Null);
+                (c + b["vcpus"].as_f64().unwrap_or(0.0), g + b["accelerators"].as_f64().unwrap_or(0.0))
+            },
+        )
+    }
+
+    fn report(&mut self, now: u64) -> Value {
+        self.serial += 1;
+        let shards: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|t| {
+                let (phase, cause, kept) = match &t.state {
+                    State::Fetching { .. } => ("fetching", None, false),
+                    State::Waiting { .. } => ("waiting", None, false),
+                    State::Running { .. } => ("running", None, false),
+                    State::Saving { .. } => ("flushing", None, false),
+                    State::Exited { cause, kept } => ("ended", Some(*cause), *kept),
+                };
+                json!({"shard": t.name, "try": t.attempt, "phase": phase, "cause": cause, "kept": kept})
+            })
+            .collect();
+        let notice = self.taken_at.map(|t| t.saturating_sub(now) as f64 / 1000.0);
+        json!({"host": self.id, "addr": self.addr, "flavor": self.type_name, "region": self.zone,
+            "preemptible": self.spot, "tenure": self.session, "serial": self.serial, "fence": self.fence,
+            "warning_s": notice, "shards": shards})
+    }
+}
+
+impl World {
+    pub fn add_worker(&mut self, listed: &ListedMachine) {
+        let never = self.rng.random_bool(0.03);
+        let boots_at = self.now + if never { 10_000_000 } else { self.rng_ms(500, 6000) };
+        self.workers.push(Worker {
+            id: listed.id.clone(),
+            addr: listed.addr.clone().unwrap_or_default(),
+            type_name: listed.type_name.to_string(),
+            zone: listed.zone.to_string(),
+            spot: listed.spot,
+            boots_at,
+            up: false,
+            hung_until: 0,
+            taken_at: None,
+            session: 1,
+            session_began: boots_at,
+            serial: 0,
+            fence: 0,
+            tasks: Vec::new(),
+            node: self.rng.random_range(0..NODES),
+            next_report: boots_at,
+            in_flight: None,
+            reports: 0,
+            answered_sent: 0,
+            gullible: false,
+        });
+        let m = self.workers.len() - 1;
+        if !never {
+            self.at(boots_at, Event::Worker(m));
+        }
+    }
+
+    pub fn machine_ends(&mut self, m: usize) {
+        let w = &mut self.workers[m];
+        w.up = false;
+        w.boots_at = u64::MAX;
+        w.tasks.clear();
+    }
+
+    fn lease_ms(&self) -> u64 {
+        (self.settings[0].workers.lease_s * 1000.0) as u64
+    }
+
+    /// One step of a worker's life.
+    pub fn worker_turn(&mut self, m: usize) {
+        let now = self.now;
+        if self.workers[m].boots_at > now {
+            return; // ended meanwhile
+        }
+        self.workers[m].up = true;
+        if self.workers[m].taken_at.is_some_and(|t| t <= now) {
+            let id = self.workers[m].id.clone();
+            self.machine_ends(m);
+            return self.cloud.take(&id, now);
+        }
+        let lease = self.lease_ms();
+        let hung = self.workers[m].hung_until > now;
+        self.after(if hung { self.workers[m].hung_until - now } else { STEP }, Event::Worker(m));
+        if hung {
+            return;
+        }
+        let w = &mut self.workers[m];
+        let last = w.answered_sent.max(w.session_began);
+        if now > last + lease {
+            w.session += 1;
+            w.session_began = now;
+            w.tasks.clear();
+            w.in_flight = None;
+            w.next_report = now;
+        }
+        self.advance(m);
+        self.check_present();
+        let w = &mut self.workers[m];
+        if w.in_flight.is_none() && now >= w.next_report {
+            w.reports += 1;
+            let (report, session, node) = (w.reports, w.session, w.node);
+            w.in_flight = Some(report);
+            let body = w.report(now).to_string();
+            let asker = Asker::Worker { machine: m, session, sent: now, report };
+            let path = "/v1/report".to_string();
+            if self.request(node, asker, Host::Machine(m), Method::Post, path, body) {
+                self.after(4000, Event::ReportTimeout { machine: m, report });
+            } else {
+                self.next_node(m, 1000);
+            }
+        }
+    }
+
+    fn next_node(&mut self, m: usize, pause: u64) {
+        let w = &mut self.workers[m];
+        w.in_flight = None;
+        w.node = (w.node + 1) % NODES;
+        w.next_report = self.now + pause;
+    }
+
+    pub fn report_timeout(&mut self, m: usize, report: u64) {
+        if self.workers[m].in_flight == Some(report) {
+            self.next_node(m, 1000);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn report_answer(
+        &mut self,
+        m: usize,
+        session: u64,
+        sent: u64,
+        node: usize,
+        status: u16,
+        body: &str,
+        report: u64,
+    ) {
+        if self.workers[m].in_flight != Some(report)
+            || !self.workers[m].up
+            || self.workers[m].hung_until > self.now
+        {
+            return;
+        }
+        let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        if status != 200 {
+            let master =
+                value["master"].as_str().and_then(|s| s.strip_prefix('n')).and_then(|s| s.parse().ok());
+            match master.filter(|n: &usize| status == 421 && *n < NODES && *n != node) {
+                Some(n) => {
+                    let w = &mut self.workers[m];
+                    w.in_flight = None;
+                    w.node = n;
+                    w.next_report = self.now + 100;
+                }
+                None => self.next_node(m, 1000),
+            }
+            return;
+        }
+        let jitter = self.rng_ms(2250, 3750);
+        let w = &mut self.workers[m];
+        w.in_flight = None;
+        w.next_report = self.now + jitter;
+        let fence = value["fence"].as_u64().unwrap_or(0);
+        if w.session != session || (fence < w.fence && !w.gullible) {
+            return;
+        }
+        w.fence = w.fence.max(fence);
+        w.answered_sent = w.answered_sent.max(sent);
+        self.obey(m, &value["orders"]);
+    }
+
+    pub fn direct(&mut self, from: usize, life: u64, op: OpId, addr: &str, body: &str) {
+        let Some(m) = self.workers.iter().position(|w| w.addr == addr && w.up) else { return };
+        if self.workers[m].hung_until > self.now {
+            let later = self.workers[m].hung_until;
+            let (addr, body) = (addr.to_string(), body.to_string());
+            return self.at(later, Event::Direct { from, life, op, addr, body });
+        }
+        let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let w = &mut self.workers[m];
+        let fence = value["fence"].as_u64().unwrap_or(0);
+        let ok = fence >= w.fence && value["tenure"].as_u64() == Some(w.session);
+        if ok {
+            if fence > w.fence {
+                w.next_report = self.now;
+            }
+            w.fence = fence;
+            self.obey(m, &value["orders"]);
+        }
+        let body = self.workers[m].report(self.now).to_string().into_bytes();
+        let input = Input::Worker { op, status: if ok { 200 } else { 409 }, body };
+        self.send(Host::Machine(m), Host::Node(from), Event::Input(from, life, input));
+    }
+
+    fn obey(&mut self, m: usize, orders: &Value) {
+        let now = self.now;
+        for order in orders.as_array().into_iter().flatten() {
+            let name = order["shard"].as_str().unwrap_or_default().to_string();
+            let attempt = order["try"].as_u64().unwrap_or(0);
+            let at = self.workers[m].tasks.iter().position(|t| t.name == name && t.attempt == attempt);
+            match (order["verb"].as_str(), at) {
+                (Some("start"), None) => self.start(m, name, attempt),
+                (Some("stop"), Some(i)) => {
+                    let grace = order["drain_s"].as_f64().unwrap_or(0.0);
+                    let t = &mut self.workers[m].tasks[i];
+                    let saves = matches!(t.state, State::Running { .. }) && grace >= 1.0;
+                    t.at = now;
+                    t.state = match &t.state {
+                        State::Exited { .. } => continue,
+                        State::Running { .. } if saves => State::Saving { until: now + 1000 },
+                        State::Saving { until } if grace > 0.0 => State::Saving { until: *until },
+                        _ => State::Exited { cause: "stopped", kept: false },
+                    };
+                }
+                (Some("forget"), Some(i))
+                    if matches!(self.workers[m].tasks[i].state, State::Exited { .. }) =>
+                {
+                    self.workers[m].tasks.remove(i);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn start(&mut self, m: usize, name: String, attempt: u64) {
+        let now = self.now;
+        let job = name.split('/').next().unwrap_or_default().to_string();
+        let room = match self.workers[m].type_name.as_str() {
+            "small" => (8.0, 2.0),
+            _ => (16.0, 4.0),
+        };
+        let (cpus, gpus) = self.workers[m].on_room(|j| self.rules.body(j));
+        let body = self.rules.body(&job);
+        let refuse = match &body {
+            None => Some("unknown"),
+            Some(_)
+                if self.workers[m]
+                    .tasks
+                    .iter()
+                    .any(|t| t.name == name && !matches!(t.state, State::Exited { .. })) =>
+            {
+                Some("busy")
+            }
+            Some(b) => {
+                let over = cpus + b["vcpus"].as_f64().unwrap_or(0.0) > room.0
+                    || gpus + b["accelerators"].as_f64().unwrap_or(0.0) > room.1;
+                over.then_some("no_room")
+            }
+        };
+        let fetch = self.rng_ms(200, 2500);
+        let state = match refuse {
+            Some(cause) => State::Exited { cause, kept: false },
+            None => State::Fetching { until: now + fetch },
+        };
+        self.workers[m].tasks.push(Task { name, attempt, state, at: now });
+    }
+
+    /// Lets a worker's tasks move on.
+    fn advance(&mut self, m: usize) {
+        let now = self.now;
+        for i in 0..self.workers[m].tasks.len() {
+            let t = self.workers[m].tasks[i].clone();
+            let body = self.rules.body(t.job()).unwrap_or(Value::Null);
+            let gang = body["shape"] == "ensemble";
+            let total = (body["expected_s"].as_f64().unwrap_or(1.0) * 1000.0) as u64;
+            let next = match &t.state {
+                State::Fetching { until } if *until <= now => {
+                    let (w, rules) = (&self.workers[m], &mut self.rules);
+                    rules.starts(now, &w.id, &w.type_name, &w.zone, w.spot, &t.name, &self.workers);
+                    Some(if self.rules.task_done(&t.name) {
+                        State::Exited { cause: "done", kept: false }
+                    } else if gang {
+                        State::Waiting { since: now }
+                    } else {
+                        let kept = self.rules.progress(&t.name);
+                        State::Running { left: total.saturating_sub(kept), kept }
+                    })
+                }
+                State::Waiting { since } => {
+                    let n = body["shards"].as_u64().unwrap_or(1);
+                    let together = self
+                        .workers
+                        .iter()
+                        .flat_map(|w| &w.tasks)
+                        .filter(|o| o.job() == t.job() && o.attempt == t.attempt)
+                        .filter(|o| matches!(o.state, State::Waiting { .. } | State::Running { .. }))
+                        .count() as u64;
+                    if together >= n {
+                        let kept = self.rules.progress(t.job());
+                        Some(State::Running { left: total.saturating_sub(kept), kept })
+                    } else {
+                        (now > since + 35_000).then_some(State::Exited { cause: "incomplete", kept: false })
+                    }
+                }
+                State::Running { left, kept } if body["shape"] != "daemon" => {
+                    let alone = gang
+                        && (self
+                            .workers
+                            .iter()
+                            .flat_map(|w| &w.tasks)
+                            .filter(|o| o.job() == t.job() && o.attempt == t.attempt)
+                            .filter(|o| {
+                                !matches!(
+                                    o.state,
+                                    State::Fetching { .. }
+                                        | State::Exited { cause: "peers" | "stopped" | "incomplete", .. }
+                                )
+                            })
+                            .count() as u64)
+                            < body["shards"].as_u64().unwrap_or(1);
+                    let spent = now - t.at;
+                    if alone && !self.rules.task_done(&t.name) {
+                        Some(State::Exited { cause: "peers", kept: false })
+                    } else if spent >= *left {
+                        self.rules.completes(&t.name, gang);
+                        Some(State::Exited { cause: "done", kept: false })
+                    } else {
+                        let _ = kept;
+                        None
+                    }
+                }
+                State::Saving { until } if *until <= now => {
+                    Some(State::Exited { cause: "stopped", kept: true })
+                }
+                _ => None,
+            };
+            if let Some(state) = next {
+                let ended = matches!(state, State::Exited { .. });
+                let w = &mut self.workers[m];
+                w.tasks[i].state = state;
+                w.tasks[i].at = now;
+                if ended || now + 500 < w.next_report {
+                    w.next_report = w.next_report.min(now + 300);
+                }
+            }
+        }
+    }
+}
