Draws weigh the fetch time of a missing image (exception to the design)

Cause: a start waits mostly for its image (5 GB at 0.2 GB/s is 25 s, wait aims are 12 to 30 s), and the draw did not know where the image is.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -158,6 +158,7 @@
             zones: vec![("a".into(), 99), ("b".into(), 99)],
             together: false,
             image: "i".into(),
+            image_gb: 1.0,
         }
     }
 
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -665,5 +665,10 @@
 
 pub(super) fn factors(settings: &Settings) -> Factors {
     let o = &settings.operator;
-    Factors { degraded: o.degraded_factor, unknown: o.unknown_factor, empty: o.empty_factor }
+    Factors {
+        degraded: o.degraded_factor,
+        unknown: o.unknown_factor,
+        empty: o.empty_factor,
+        fetch_half_s: o.fetch_half_s,
+    }
 }
--- a/src/node/master.rs
+++ b/src/node/master.rs
@@ -160,6 +160,7 @@
             empty: m.is_empty(),
             health,
             images: m.images.clone(),
+            fetch_gb_per_s: self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s),
         }
     }
 
@@ -1090,6 +1091,7 @@
         zones,
         together: spec.together,
         image: spec.image.clone(),
+        image_gb: spec.image_gb,
     }
 }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -23,6 +23,7 @@
     pub empty: bool,
     pub health: Health,
     pub images: Vec<Image>,
+    pub fetch_gb_per_s: f64,
 }
 
 /// Tasks of one job that wait for machines.
@@ -40,6 +41,7 @@
     /// All tasks of it must be in one zone.
     pub together: bool,
     pub image: Image,
+    pub image_gb: f64,
 }
 
 impl TaskAsk {
@@ -133,6 +135,8 @@
     pub degraded: f64,
     pub unknown: f64,
     pub empty: f64,
+    /// Fetch time, in seconds, that halves a draw.
+    pub fetch_half_s: f64,
 }
 
 impl Factors {
@@ -146,6 +150,16 @@
     }
 }
 
+/// Exception to the design: where an image takes most of a start, a machine that has it, or fetches
+/// fast, starts the task long before one that must fetch it.
+fn fetch_factor(m: &MachineView, ask: &TaskAsk, factors: &Factors) -> f64 {
+    if m.images.contains(&ask.image) || m.fetch_gb_per_s <= 0.0 {
+        return 1.0;
+    }
+    let fetch_s = ask.image_gb / m.fetch_gb_per_s;
+    factors.fetch_half_s / (factors.fetch_half_s + fetch_s)
+}
+
 fn draw(pair: Pair, rng: &mut impl Rng) -> f64 {
     let gamma = |shape: f32, rng: &mut _| {
         Gamma::new(f64::from(shape.max(1e-3)), 1.0).map(|g| g.sample(rng)).unwrap_or(0.0)
@@ -239,7 +253,9 @@
     let mut best: Option<(f64, usize)> = None;
     for i in candidates {
         let m = &machines[i];
-        let mut value = draw(counts.pair(&m.id, &ask.kind), rng) * factors.health(m.health);
+        let mut value = draw(counts.pair(&m.id, &ask.kind), rng)
+            * factors.health(m.health)
+            * fetch_factor(m, ask, factors);
         if m.empty && booked_fits {
             value *= factors.empty;
         }
@@ -256,7 +272,7 @@
     use rand::SeedableRng;
     use rand::rngs::StdRng;
 
-    const FACTORS: Factors = Factors { degraded: 0.5, unknown: 0.8, empty: 0.5 };
+    const FACTORS: Factors = Factors { degraded: 0.5, unknown: 0.8, empty: 0.5, fetch_half_s: 5.0 };
 
     fn view(id: &str, zone: &str, gpus: f64, empty: bool) -> MachineView {
         MachineView {
@@ -268,6 +284,7 @@
             empty,
             health: Health::Healthy,
             images: Vec::new(),
+            fetch_gb_per_s: 0.2,
         }
     }
 
@@ -283,6 +300,7 @@
             zones: vec![("a".into(), 99), ("b".into(), 99)],
             together,
             image: "i".into(),
+            image_gb: 1.0,
         }
     }
 
@@ -325,6 +343,24 @@
         assert!((20..90).contains(&empty), "an empty machine wins a quarter of the time: {empty}");
     }
 
+    #[test]
+    fn a_machine_with_the_image_is_preferred() {
+        let mut rng = StdRng::seed_from_u64(3);
+        let mut counts = Counts::default();
+        for m in ["has", "lacks"] {
+            for _ in 0..20 {
+                counts.learn(&Learned { machine: m.into(), kind: "k".into(), success: true });
+            }
+        }
+        let won = (0..100).filter(|_| {
+            let mut machines = [view("has", "a", 1.0, false), view("lacks", "a", 1.0, false)];
+            machines[0].images.push("i".into());
+            let p = round(&mut machines, &[ask(Shape::Array, 1, false)], &counts, &FACTORS, &mut rng);
+            p[0].machine == "has".into()
+        });
+        assert!(won.count() > 90);
+    }
+
     #[test]
     fn spread_caps_hold_within_a_round_and_the_table_stays_bounded() {
         let mut rng = StdRng::seed_from_u64(2);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -152,6 +152,8 @@
     pub unknown_factor: f64,
     /// Factor on the draw of an empty machine while a partly booked one fits.
     pub empty_factor: f64,
+    /// Image fetch time that halves the draw of a machine without the image.
+    pub fetch_half_s: f64,
     /// Reports late by more than this many report intervals make a machine degraded.
     pub degraded_reports: f64,
     /// ... unreachable: nothing is placed there.
@@ -189,6 +191,7 @@
             degraded_factor: 0.5,
             unknown_factor: 0.8,
             empty_factor: 0.5,
+            fetch_half_s: 5.0,
             degraded_reports: 1.6,
             unreachable_reports: 2.5,
             lost_reports: 4.0,
@@ -404,6 +407,7 @@
         ("block_lease_s", o.block_lease_s),
         ("counts_save_s", o.counts_save_s),
         ("idle_return_s", o.idle_return_s),
+        ("fetch_half_s", o.fetch_half_s),
         ("boot_patience", o.boot_patience),
         ("refusal_pause_s", o.refusal_pause_s),
         ("list_every_s", o.list_every_s),
