Starts and stops go straight to workers; an unanswered start stays in doubt for its session

Cause: an order waited up to 3.75 s for the worker's next report. Ruled out: holding report answers open (delays completions).

--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -27,6 +27,8 @@
         session: Session,
         serial: u64,
     },
+    /// The start is on its way straight to the worker, whose answer is awaited.
+    Direct,
     /// Read from the record of an earlier leader: may or may not be there.
     Inherited,
     /// Reported as fetching or waiting for its gang.
@@ -41,6 +43,8 @@
 pub struct Stop {
     pub grace_s: f64,
     pub since: Time,
+    /// Whether a direct command for it has left.
+    pub told: bool,
 }
 
 #[derive(Debug, Clone)]
--- a/src/node/master.rs
+++ b/src/node/master.rs
@@ -12,7 +12,8 @@
 use crate::settings::Settings;
 use crate::store::Budget;
 use crate::types::{
-    Fence, JobId, MachineId, NodeName, OpId, Room, Span, Stamp, TaskId, TeamName, Time, Zone,
+    Attempt, Fence, JobId, MachineId, NodeName, OpId, Room, Session, Span, Stamp, TaskId, TeamName, Time,
+    Zone,
 };
 use crate::wire::cloud::{CloudReply, CloudRequest, ListedMachine, MachinePhase, MachineType};
 use crate::wire::state::{Change, Pair, StateReply, StateRequest};
@@ -51,6 +52,13 @@
     task: TaskId,
 }
 
+#[derive(Debug)]
+struct DirectCall {
+    machine: MachineId,
+    session: Session,
+    starts: Vec<(TaskId, Attempt)>,
+}
+
 #[derive(Debug)]
 enum CloudOp {
     Rent { offer: Offer, number: u32 },
@@ -101,6 +109,9 @@
     /// Workers that must hear of this leader's fence directly, and calls under way for it.
     to_push: BTreeSet<MachineId>,
     pushes: BTreeMap<OpId, MachineId>,
+    /// Workers with orders that needn't wait for their next report, and calls under way.
+    to_direct: BTreeSet<MachineId>,
+    directs: BTreeMap<OpId, DirectCall>,
     reload: Vec<(Time, MasterOp)>,
     recheck: Vec<(Time, String)>,
 }
@@ -167,6 +178,7 @@
     /// Takes a stop wish to a task's machine; removes it at once if no order went out.
     fn stop_task(&mut self, machine: &MachineId, task: &TaskId, grace_s: f64, now: Time) {
         let Some(m) = self.machines.get_mut(machine) else { return };
+        self.to_direct.insert(machine.clone());
         if m.stop(task, grace_s, now).is_some() {
             self.dirty.insert(machine.clone());
             self.room_version += 1;
@@ -233,6 +245,8 @@
             releasing: BTreeSet::new(),
             to_push: BTreeSet::new(),
             pushes: BTreeMap::new(),
+            to_direct: BTreeSet::new(),
+            directs: BTreeMap::new(),
             reload: Vec::new(),
             recheck: Vec::new(),
             settings,
@@ -481,6 +495,7 @@
                     && entry.state == EntryState::Planned
                 {
                     entry.state = EntryState::Ready;
+                    self.to_direct.insert(MachineId::from(id));
                 }
             }
             return None;
@@ -625,7 +640,16 @@
                     .is_some_and(|t| now.since(m.rented_at) > fleet::boot_limit(t, o.boot_patience)),
                 _ => false,
             };
-            if lost {
+            // A start that may still act can't be stopped before it does; the cloud can prove it
+            // gone, long before a withdrawal's time is up.
+            let haunted = m.doubtful.keys().any(|(task, attempt)| {
+                m.entries.get(task).is_some_and(|e| {
+                    e.attempt == *attempt
+                        && matches!(e.state, EntryState::Sent { .. })
+                        && e.stop.is_some_and(|s| now.since(s.since) > report.times(4.0))
+                })
+            });
+            if lost || haunted {
                 tracing::warn!(machine = %m.id, standing = ?m.standing, tasks = m.entries.len(), "machine lost; returning it");
                 m.standing = Standing::Releasing;
                 self.blocks.remove(&m.id);
@@ -1252,6 +1276,21 @@
 
     pub(super) fn worker(&mut self, op: OpId, status: u16, body: &[u8]) {
         let Some(master) = &mut self.master else { return };
+        if let Some(call) = master.directs.remove(&op) {
+            let report = serde_json::from_slice::<Report>(body).ok();
+            let at = match (&report, status) {
+                (Some(r), 200) => Some(Some((r.session, r.serial))),
+                (_, 400 | 409) => Some(None),
+                _ => None,
+            };
+            if let Some(m) = master.machines.get_mut(&call.machine) {
+                m.direct_answered(call.starts, call.session, at);
+            }
+            if let Some(r) = report {
+                self.saw_fence(r.fence);
+            }
+            return;
+        }
         let Some(machine) = master.pushes.remove(&op) else { return };
         // The body is a report, but only what it says of fence and session is used: it may have
         // been made before an order sent in answer to a report ran, and would prove nothing.
@@ -1523,6 +1562,7 @@
         if self.may_start() {
             self.offer_rounds();
         }
+        self.send_directs();
         let Some(master) = &mut self.master else { return };
         master.write_records();
         if master.correcting == 0 && now >= master.commit_not_before && master.journal.idle() {
@@ -1542,6 +1582,28 @@
         }
     }
 
+    /// Orders that needn't wait for a worker's next report go straight to it.
+    fn send_directs(&mut self) {
+        let may_start = self.may_start();
+        let Some(master) = &mut self.master else { return };
+        let (fence, mut calls) = (master.fence, Vec::new());
+        for id in std::mem::take(&mut master.to_direct) {
+            let Some(m) = master.machines.get_mut(&id).filter(|m| m.reachable(fence)) else { continue };
+            let (orders, starts) = m.direct_orders(may_start);
+            if let (false, Some(addr)) = (orders.is_empty(), m.addr.clone()) {
+                let body = workers::command(fence, m.session, &orders);
+                calls.push((addr, body, DirectCall { machine: id, session: m.session, starts }));
+            }
+        }
+        for (addr, body, call) in calls {
+            let op = self.op();
+            self.fx.push(Effect::Worker { op, addr, body });
+            if let Some(master) = &mut self.master {
+                master.directs.insert(op, call);
+            }
+        }
+    }
+
     // ---- rounds ----
 
     fn offer_rounds(&mut self) {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -69,6 +69,10 @@
     /// Version from which each planned entry is durable.
     pub planned: BTreeMap<TaskId, u64>,
     pub draining: bool,
+    /// Starts sent directly and never answered, with the session they name: while it lasts they
+    /// may still act. Their absence proves nothing, and an exited one isn't forgotten, since the
+    /// worker would then start it again.
+    pub doubtful: BTreeMap<(TaskId, Attempt), Session>,
 }
 
 /// What a report changed.
@@ -110,6 +114,7 @@
             push_session: Session(0),
             planned: BTreeMap::new(),
             draining: false,
+            doubtful: BTreeMap::new(),
         }
     }
 
@@ -173,8 +178,11 @@
         }
         match &mut entry.stop {
             Some(stop) if stop.grace_s <= grace_s => {}
-            Some(stop) => stop.grace_s = grace_s,
-            None => entry.stop = Some(Stop { grace_s, since: now }),
+            Some(stop) => {
+                stop.grace_s = grace_s;
+                stop.told = false;
+            }
+            None => entry.stop = Some(Stop { grace_s, since: now, told: false }),
         }
         None
     }
@@ -186,6 +194,9 @@
             digest.stale = true;
             return digest;
         }
+        if report.session > self.session {
+            self.doubtful.retain(|_, session| *session >= report.session);
+        }
         self.session = report.session;
         self.serial = report.serial;
         self.fence = report.fence;
@@ -250,7 +261,12 @@
             match self.entries.get(&task) {
                 Some(e) if e.attempt == attempt => {}
                 _ if !may_start => {}
-                _ if exited => orders.push(Order::Forget { task, attempt }),
+                _ if exited => {
+                    let forget = Order::Forget { task: task.clone(), attempt };
+                    if !self.doubtful.contains_key(&(task, attempt)) {
+                        orders.push(forget);
+                    }
+                }
                 _ => orders.push(Order::Stop { task, attempt, grace_s: 0.0 }),
             }
         }
@@ -261,7 +277,11 @@
             match (entry.state, entry.stop) {
                 (EntryState::Ready | EntryState::Sent { .. }, None) if may_start => {
                     orders.push(Order::Start { task: task.clone(), attempt: entry.attempt });
-                    entry.state = EntryState::Sent { session: report.session, serial: report.serial };
+                    let serial = match self.doubtful.contains_key(&(task.clone(), entry.attempt)) {
+                        true => u64::MAX,
+                        false => report.serial,
+                    };
+                    entry.state = EntryState::Sent { session: report.session, serial };
                 }
                 // A task that already saves got its stop; a second one would cut it short.
                 (EntryState::Saving, Some(stop)) if stop.grace_s > 0.0 => {}
@@ -280,6 +300,60 @@
     }
 }
 
+impl Machine {
+    /// Whether a direct command may reach the worker.
+    pub fn reachable(&self, mine: Fence) -> bool {
+        self.addr.is_some() && self.standing == Standing::Up && self.fence == mine
+    }
+
+    /// Orders to send straight to the worker: starts that are durable now, and new stops.
+    pub fn direct_orders(&mut self, may_start: bool) -> (Vec<Order>, Vec<(TaskId, Attempt)>) {
+        let (mut orders, mut starts) = (Vec::new(), Vec::new());
+        for (task, entry) in &mut self.entries {
+            let attempt = entry.attempt;
+            match (entry.state, &mut entry.stop) {
+                (EntryState::Ready, None) if may_start => {
+                    entry.state = EntryState::Direct;
+                    orders.push(Order::Start { task: task.clone(), attempt });
+                    starts.push((task.clone(), attempt));
+                }
+                (EntryState::Planned | EntryState::Ready | EntryState::Done, _) => {}
+                (_, Some(stop)) if !stop.told => {
+                    stop.told = true;
+                    orders.push(Order::Stop { task: task.clone(), attempt, grace_s: stop.grace_s });
+                }
+                _ => {}
+            }
+        }
+        (orders, starts)
+    }
+
+    /// A direct command's starts were answered: `at` is the session and serial of the answer,
+    /// `Some(None)` says that nothing ran, and no answer that they may still run.
+    pub fn direct_answered(
+        &mut self,
+        starts: Vec<(TaskId, Attempt)>,
+        session: Session,
+        at: Option<Option<(Session, u64)>>,
+    ) {
+        for (task, attempt) in starts {
+            let Some(entry) = self.entries.get_mut(&task) else { continue };
+            // If a report has listed it meanwhile, the command has run.
+            if entry.attempt != attempt || entry.state != EntryState::Direct {
+                continue;
+            }
+            entry.state = match at {
+                Some(Some((session, serial))) => EntryState::Sent { session, serial },
+                Some(None) => EntryState::Ready,
+                None => {
+                    self.doubtful.insert((task, attempt), session);
+                    EntryState::Sent { session, serial: u64::MAX }
+                }
+            };
+        }
+    }
+}
+
 /// A listed task: takes over its phase, or tells how it ended.
 fn seen(
     entry: &mut Entry,
@@ -324,7 +398,7 @@
 /// A task that a report does not list: gone if the report is newer than every order for it.
 fn absent(entry: &mut Entry, report: &Report, mine: Fence) -> Option<Outcome> {
     match entry.state {
-        EntryState::Planned | EntryState::Ready => None,
+        EntryState::Planned | EntryState::Ready | EntryState::Direct => None,
         // Orders in answers run before the worker's next report or never, so a later report
         // without the task proves that it didn't start.
         EntryState::Sent { session, serial } if (report.session, report.serial) > (session, serial) => {
@@ -414,6 +488,23 @@
         assert_eq!(m.orders(&r, true, |_| false), [Order::Forget { task, attempt: Attempt(7) }]);
     }
 
+    #[test]
+    fn a_direct_start_without_answer_is_neither_disproved_by_reports_nor_forgotten() {
+        let (mut m, task) = machine_with(EntryState::Ready);
+        m.digest(&report(1, 5, 9, ""), MINE, Time::from_ms(1));
+        let (orders, starts) = m.direct_orders(true);
+        assert_eq!(orders.len(), 1);
+        m.direct_answered(starts, Session(1), None);
+        m.stop(&task, 0.0, Time::from_ms(2));
+        assert!(m.digest(&report(1, 7, 9, ""), MINE, Time::from_ms(3)).gone.is_empty(), "may come late");
+        let ended = report(1, 8, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"stopped"}"#);
+        assert_eq!(m.digest(&ended, MINE, Time::from_ms(4)).gone.len(), 1);
+        assert!(m.orders(&ended, true, |_| false).is_empty(), "forgotten, it would start again");
+        let next = report(2, 9, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"stopped"}"#);
+        m.digest(&next, MINE, Time::from_ms(5));
+        assert_eq!(m.orders(&next, true, |_| false).len(), 1, "a new session ends the doubt");
+    }
+
     #[test]
     fn tasks_the_ledger_does_not_know_are_stopped_and_block_the_machine() {
         let (mut m, _) = machine_with(EntryState::Running);
