Preemption: by priority, and for guarantees from work beyond another team's

Cause: services waited for machines to boot (35 s) while arrays of lower priority held the room. Ruled out: spare machines (price is missed already).

--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -68,6 +68,8 @@
     pub attempt: Option<Attempt>,
     /// Failures in a row that speak of the job as much as of its machines.
     pub errors: u32,
+    /// When work was stopped last to make room for it.
+    pub preempted: Option<Time>,
     /// Why it waits, for operators.
     pub why: &'static str,
     /// First time that all tasks were done, while that waits to be written.
@@ -88,6 +90,7 @@
             not_before: Time::default(),
             attempt: None,
             errors: 0,
+            preempted: None,
             why: "new",
             finishing: false,
             low: 0,
--- a/src/node/master.rs
+++ b/src/node/master.rs
@@ -9,6 +9,7 @@
 use crate::leader;
 use crate::ledger::{self, Entry, EntryState, Journal, MachineRecord};
 use crate::placement::{self, Learned, MachineView, Proposal, TaskAsk};
+use crate::preemption::{self, Candidate, Victim};
 use crate::settings::Settings;
 use crate::store::Budget;
 use crate::types::{
@@ -31,6 +32,8 @@
 const TOMB_LIFE: Span = Span::ms(600_000);
 /// Slack left off the time for which a leader without the state service answers reports.
 const HOLD_MARGIN_S: f64 = 4.0;
+/// How long a job waits for the room it made before it makes more, besides a save.
+const PREEMPT_PAUSE: Span = Span::ms(2000);
 /// While most machines are silent, none is given up for this many report intervals.
 const SUSPECT_REPORTS: f64 = 4.0;
 /// After this long a controller that let a round time out is offered work again.
@@ -1021,12 +1024,75 @@
         if found.is_empty() {
             run.tried = version;
             run.why = "no machine has room for it";
+            self.preempt(ask, now);
         } else {
             run.why = "machines move to its controller's block";
             self.blocks.give(node, found);
         }
     }
 
+    /// Makes room for one task of a job that fits nowhere, if its rank allows that.
+    fn preempt(&mut self, ask: &TaskAsk, now: Time) {
+        let Some(run) = self.runs.get(&ask.job) else { return };
+        let spec = run.job.spec.clone();
+        if run.preempted.is_some_and(|at| now.since(at) < PREEMPT_PAUSE + spec.save)
+            || (ask.shape == Shape::Gang && ask.tasks.len() > 1)
+        {
+            return;
+        }
+        let guaranteed = self.guaranteed();
+        let mine = guaranteed.contains(&ask.job);
+        let mut candidates = Vec::new();
+        for m in self.machines.values() {
+            let fetch_rate = self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s);
+            let may = m.open_for_tasks(now)
+                && self.health(m, now) == Health::Healthy
+                && ask.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
+                && (ask.spot || !m.spot)
+                && ask.zones.iter().any(|(z, n)| *z == m.zone && *n > 0);
+            if !may {
+                continue;
+            }
+            let (mut free, mut victims) = (m.free(), Vec::new());
+            for (task, entry) in m.entries.iter().filter(|(_, e)| e.counts()) {
+                if entry.stop.is_some() {
+                    free = free.plus(&entry.room); // leaves already
+                    continue;
+                }
+                let Some(other) = self.runs.get(&task.job) else { continue };
+                let o = &other.job.spec;
+                let lower = o.priority < spec.priority;
+                let beyond = mine && o.team != spec.team && !guaranteed.contains(&task.job);
+                if o.shape == Shape::Service || !(lower || beyond) {
+                    continue;
+                }
+                let ran = entry.running_since.map_or(0.0, |at| now.since(at).as_secs());
+                let loss_s = if o.checkpoint.0 > 0 { o.save.as_secs() } else { ran } + 1.0;
+                victims.push(Victim { task: task.clone(), room: entry.room, loss_s });
+            }
+            let fetch_s = match m.images.contains(&ask.image) || fetch_rate <= 0.0 {
+                true => 0.0,
+                false => ask.image_gb / fetch_rate,
+            };
+            candidates.push(Candidate { machine: m.id.clone(), free, victims, fetch_s });
+        }
+        let Some((machine, tasks)) = preemption::choose(candidates, &ask.room) else { return };
+        tracing::info!(job = %ask.job, %machine, tasks = tasks.len(), "preempts");
+        for task in tasks {
+            let Some(other) = self.runs.get(&task.job) else { continue };
+            let grace = gangs::save_grace_s(&other.job.spec);
+            if other.is_gang() {
+                self.stop_job(&task.job, grace, now);
+            } else {
+                self.stop_task(&machine, &task, grace, now);
+            }
+        }
+        if let Some(run) = self.runs.get_mut(&ask.job) {
+            run.preempted = Some(now);
+            run.why = "others are making room for it";
+        }
+    }
+
     // ---- records and rentals ----
 
     fn write_records(&mut self) {
