--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -68,8 +68,8 @@
     pub attempt: Option<Attempt>,
     /// Failures in a row that speak of the job as much as of its machines.
     pub errors: u32,
-    /// When work was stopped last to make room for it.
-    pub preempted: Option<Time>,
+    /// Others have been stopped for it, and should be gone by then.
+    pub making_room_until: Option<Time>,
     /// Why it waits, for operators.
     pub why: &'static str,
     /// First time that all tasks were done, while that waits to be written.
@@ -90,7 +90,7 @@
             not_before: Time::default(),
             attempt: None,
             errors: 0,
-            preempted: None,
+            making_room_until: None,
             why: "new",
             finishing: false,
             low: 0,
--- a/src/node/master.rs
+++ b/src/node/master.rs
@@ -164,7 +164,7 @@
             .collect()
     }
 
-    fn view(&self, m: &Machine, health: Health) -> MachineView {
+    fn view(&self, m: &Machine, health: Health, now: Time) -> MachineView {
         MachineView {
             id: m.id.clone(),
             type_name: m.type_name.clone(),
@@ -175,6 +175,7 @@
             health,
             images: m.images.clone(),
             fetch_gb_per_s: self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s),
+            held_for: m.held_for(now).cloned(),
         }
     }
 
@@ -864,7 +865,7 @@
                 .iter()
                 .filter_map(|id| self.machines.get(id))
                 .filter(|m| m.open_for_tasks(now))
-                .map(|m| self.view(m, self.health(m, now)))
+                .map(|m| self.view(m, self.health(m, now), now))
                 .collect();
             let id = block.id;
             for ask in &asks {
@@ -948,6 +949,12 @@
             if let Some(run) = self.runs.get_mut(&ask.job) {
                 run.placed.insert(index, machine.clone());
                 run.attempt = Some(attempt);
+                run.making_room_until = None;
+            }
+            if let Some(m) = self.machines.get_mut(&machine)
+                && m.held.as_ref().is_some_and(|(job, _)| *job == ask.job)
+            {
+                m.held = None;
             }
             placed.push((task, machine));
         }
@@ -983,6 +990,7 @@
             && !run.placed.contains_key(&task.index)
             && !stray
             && m.open_for_tasks(now)
+            && m.held_for(now).is_none_or(|j| *j == task.job)
             && !m.entries.contains_key(task)
             && spec.room.fits_in(&m.free())
             && spec.type_allowed(&m.type_name)
@@ -999,6 +1007,7 @@
         let mut room = 0;
         for m in self.machines.values() {
             let fits = m.open_for_tasks(now)
+                && m.held_for(now).is_none_or(|j| *j == ask.job)
                 && self.health(m, now) != Health::Unreachable
                 && ask.room.fits_in(&m.free())
                 && ask.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
@@ -1035,7 +1044,7 @@
     fn preempt(&mut self, ask: &TaskAsk, now: Time) {
         let Some(run) = self.runs.get(&ask.job) else { return };
         let spec = run.job.spec.clone();
-        if run.preempted.is_some_and(|at| now.since(at) < PREEMPT_PAUSE + spec.save)
+        if run.making_room_until.is_some_and(|until| now < until)
             || (ask.shape == Shape::Gang && ask.tasks.len() > 1)
         {
             return;
@@ -1046,6 +1055,7 @@
         for m in self.machines.values() {
             let fetch_rate = self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s);
             let may = m.open_for_tasks(now)
+                && m.held_for(now).is_none_or(|j| *j == ask.job)
                 && self.health(m, now) == Health::Healthy
                 && ask.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
                 && (ask.spot || !m.spot)
@@ -1078,17 +1088,26 @@
         }
         let Some((machine, tasks)) = preemption::choose(candidates, &ask.room) else { return };
         tracing::info!(job = %ask.job, %machine, tasks = tasks.len(), "preempts");
+        let several = tasks.len() > 1;
+        let mut longest = 0.0f64;
         for task in tasks {
             let Some(other) = self.runs.get(&task.job) else { continue };
             let grace = gangs::save_grace_s(&other.job.spec);
+            longest = longest.max(grace);
             if other.is_gang() {
                 self.stop_job(&task.job, grace, now);
             } else {
                 self.stop_task(&machine, &task, grace, now);
             }
         }
+        let until = now + PREEMPT_PAUSE + Span::secs(longest);
+        // Room that several have to leave comes piece by piece: held, or small tasks would take
+        // each piece. A single place may go to whoever ranks first.
+        if several && let Some(m) = self.machines.get_mut(&machine) {
+            m.held = Some((ask.job.clone(), until));
+        }
         if let Some(run) = self.runs.get_mut(&ask.job) {
-            run.preempted = Some(now);
+            run.making_room_until = Some(until);
             run.why = "others are making room for it";
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -24,6 +24,8 @@
     pub health: Health,
     pub images: Vec<Image>,
     pub fetch_gb_per_s: f64,
+    /// The job that others made room for here.
+    pub held_for: Option<JobId>,
 }
 
 /// Tasks of one job that wait for machines.
@@ -47,6 +49,7 @@
 impl TaskAsk {
     fn allows(&self, m: &MachineView) -> bool {
         m.health != Health::Unreachable
+            && m.held_for.as_ref().is_none_or(|j| *j == self.job)
             && (self.spot || !m.spot)
             && self.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
             && self.zones.iter().any(|(z, n)| *z == m.zone && *n > 0)
@@ -285,6 +288,7 @@
             health: Health::Healthy,
             images: Vec::new(),
             fetch_gb_per_s: 0.2,
+            held_for: None,
         }
     }
 
@@ -361,6 +365,20 @@
         assert!(won.count() > 90);
     }
 
+    /// Small tasks took piece by piece what had been cleared for a whole-machine task, so that
+    /// it was cleared again and again.
+    #[test]
+    fn a_held_machine_takes_nobody_else() {
+        let mut rng = StdRng::seed_from_u64(4);
+        let mut machines = [view("m1", "a", 9.0, false)];
+        machines[0].held_for = Some("req-2".into());
+        let mut a = ask(Shape::Array, 1, false);
+        let asks = [a.clone()];
+        assert!(round(&mut machines, &asks, &Counts::default(), &FACTORS, &mut rng).is_empty());
+        a.job = "req-2".into();
+        assert_eq!(round(&mut machines, &[a], &Counts::default(), &FACTORS, &mut rng).len(), 1);
+    }
+
     #[test]
     fn spread_caps_hold_within_a_round_and_the_table_stays_bounded() {
         let mut rng = StdRng::seed_from_u64(2);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -1,7 +1,9 @@
 //! Workers: what their reports say, what that proves, and the orders they get.
 
 use crate::ledger::{Entry, EntryState, MachineRecord, Stop};
-use crate::types::{Attempt, Fence, Image, MachineId, Room, Session, Span, TaskId, Time, TypeName, Zone};
+use crate::types::{
+    Attempt, Fence, Image, JobId, MachineId, Room, Session, Span, TaskId, Time, TypeName, Zone,
+};
 use crate::wire::workers::{Cause, Order, Report, ReportedTask, TaskPhase};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -69,6 +71,8 @@
     /// Version from which each planned entry is durable.
     pub planned: BTreeMap<TaskId, u64>,
     pub draining: bool,
+    /// The job that others made room for here, and until when it has the first go.
+    pub held: Option<(JobId, Time)>,
     /// Starts sent directly and never answered, with the session they name: while it lasts they
     /// may still act. Their absence proves nothing, and an exited one isn't forgotten, since the
     /// worker would then start it again.
@@ -114,6 +118,7 @@
             push_session: Session(0),
             planned: BTreeMap::new(),
             draining: false,
+            held: None,
             doubtful: BTreeMap::new(),
         }
     }
@@ -160,6 +165,11 @@
             && self.entries.len() < crate::ledger::MAX_ENTRIES
     }
 
+    /// The job it is held for, if the hold is still on.
+    pub fn held_for(&self, now: Time) -> Option<&JobId> {
+        self.held.as_ref().filter(|(_, until)| now < *until).map(|(job, _)| job)
+    }
+
     pub fn remember_image(&mut self, image: &Image) {
         self.images.retain(|i| i != image);
         self.images.push(image.clone());
