--- a/src/node/master.rs
+++ b/src/node/master.rs
@@ -171,6 +171,7 @@
             zone: m.zone.clone(),
             spot: m.spot,
             free: m.free(),
+            total: m.total,
             empty: m.is_empty(),
             health,
             images: m.images.clone(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -20,6 +20,7 @@
     pub zone: Zone,
     pub spot: bool,
     pub free: Room,
+    pub total: Room,
     pub empty: bool,
     pub health: Health,
     pub images: Vec<Image>,
@@ -163,6 +164,15 @@
     factors.fetch_half_s / (factors.fetch_half_s + fetch_s)
 }
 
+/// The packing factor, graded: an empty machine gets `empty`, a full one 1, and one in between
+/// accordingly. Only while some partly booked machine fits too, as in the design.
+fn packing_factor(m: &MachineView, ask: &TaskAsk, factors: &Factors) -> f64 {
+    let part = |free: f64, total: f64| if total > 0.0 { (free / total).clamp(0.0, 1.0) } else { 0.0 };
+    let free =
+        if ask.room.gpus > 0.0 { part(m.free.gpus, m.total.gpus) } else { part(m.free.cpus, m.total.cpus) };
+    factors.empty.powf(free)
+}
+
 fn draw(pair: Pair, rng: &mut impl Rng) -> f64 {
     let gamma = |shape: f32, rng: &mut _| {
         Gamma::new(f64::from(shape.max(1e-3)), 1.0).map(|g| g.sample(rng)).unwrap_or(0.0)
@@ -259,8 +269,8 @@
         let mut value = draw(counts.pair(&m.id, &ask.kind), rng)
             * factors.health(m.health)
             * fetch_factor(m, ask, factors);
-        if m.empty && booked_fits {
-            value *= factors.empty;
+        if booked_fits {
+            value *= packing_factor(m, ask, factors);
         }
         if best.is_none_or(|(b, _)| value > b) {
             best = Some((value, i));
@@ -284,6 +294,7 @@
             zone: zone.into(),
             spot: false,
             free: Room { cpus: 99.0, gpus, memory_gb: 99.0 },
+            total: Room { cpus: 99.0, gpus: if empty { gpus } else { 2.0 * gpus }, memory_gb: 99.0 },
             empty,
             health: Health::Healthy,
             images: Vec::new(),
@@ -344,7 +355,7 @@
             empty += u32::from(p[0].machine == "x".into());
         }
         assert!(bad < 10, "the fallback pair of a kind never seen counts too: {bad}");
-        assert!((20..90).contains(&empty), "an empty machine wins a quarter of the time: {empty}");
+        assert!((20..90).contains(&empty), "an emptier machine wins less often: {empty}");
     }
 
     #[test]
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -150,7 +150,8 @@
     pub degraded_factor: f64,
     /// Factor on the draw of a machine that has not reported yet.
     pub unknown_factor: f64,
-    /// Factor on the draw of an empty machine while a partly booked one fits.
+    /// Factor on the draw of an empty machine while a partly booked one fits; a half empty one
+    /// gets its square root.
     pub empty_factor: f64,
     /// Image fetch time that halves the draw of a machine without the image.
     pub fetch_half_s: f64,
@@ -190,7 +191,7 @@
             counts_save_s: 10.0,
             degraded_factor: 0.5,
             unknown_factor: 0.8,
-            empty_factor: 0.5,
+            empty_factor: 0.05,
             fetch_half_s: 5.0,
             degraded_reports: 1.6,
             unreachable_reports: 2.5,
