Idle followers look at the state service each second; they called themselves unfit

Cause: a follower without requests made no calls but one long watch, took its own idleness for a lost state service, answered /up with 503, and so got no requests that would have shown otherwise. Test: idle_nodes_stay_fit_for_requests, failed before.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -26,7 +26,7 @@
 /// How long the shell waits for the state service before it reports no answer.
 const STATE_PATIENCE: Span = Span::ms(1500);
 const WATCH_BLOCK: Span = Span::ms(10_000);
-/// How long a withdrawn job's verdict may lag behind before the leader reads job records anew.
+/// How old a node's last full look at the job records may get before it looks again.
 const FRESHEN_EVERY: Span = Span::ms(1000);
 
 /// What an outstanding request to the state service is for.
@@ -273,7 +273,9 @@
                 let request = StateRequest::Watch { prefix: jobs::PREFIX, from, block_ms: WATCH_BLOCK.0 };
                 self.ask_state(request, Pending::Watch);
             }
-            let stale = self.seat.leads() && now.since(self.fresh_at) >= FRESHEN_EVERY;
+            // A node without requests must still learn whether it reaches the state service, or it
+            // would call itself unfit, get no requests, and never find out.
+            let stale = now.since(self.fresh_at) >= FRESHEN_EVERY;
             if !self.syncing && now >= self.next_sync && (self.desk.wants_read() || stale) {
                 self.syncing = true;
                 self.desk.read_begins();
--- a/src/node/world/tests.rs
+++ b/src/node/world/tests.rs
@@ -3,7 +3,8 @@
 #![cfg(test)]
 
 use super::{Event, Fault, Host, NODES, Stage, World, job};
-use crate::node::Core;
+use crate::node::{Core, Effect, Input, Method, Now};
+use crate::types::{OpId, Time, Wall};
 use rand::RngExt;
 
 /// A day with jobs of all shapes; `faults` adds its troubles.
@@ -165,6 +166,27 @@
     }
 }
 
+/// A follower that nobody asked anything took its own idleness for a lost state service.
+#[test]
+fn idle_nodes_stay_fit_for_requests() {
+    let mut w = World::new(7);
+    for second in 10..30 {
+        w.run_until(second * 1000);
+        for i in 0..NODES {
+            let now = Now { steady: Time::from_ms(1_000_000 + w.now), wall: Wall(w.now) };
+            let ask = Input::Http {
+                request: OpId(u64::from(u32::MAX)),
+                method: Method::Get,
+                path: "/up".into(),
+                body: Vec::new(),
+            };
+            let Some(core) = &mut w.nodes[i].core else { continue };
+            let fit = core.step(now, ask).iter().any(|e| matches!(e, Effect::Answer { status: 200, .. }));
+            assert!(fit, "node {i} calls itself unfit at {second} s");
+        }
+    }
+}
+
 /// Whether some seed of a few breaks a rule under `faults` and a spoilt `world`.
 fn checker_notices(spoil: impl Fn(&mut World)) -> bool {
     (300..330).any(|seed| {
