--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -191,7 +191,7 @@
             counts_save_s: 10.0,
             degraded_factor: 0.5,
             unknown_factor: 0.8,
-            empty_factor: 0.05,
+            empty_factor: 0.3,
             fetch_half_s: 5.0,
             degraded_reports: 1.6,
             unreachable_reports: 2.5,
