A leader that lost the state service no longer keeps its peers from taking over

Ruled out: capacity (20 machines up), quota. Now only a valid leader beats; peers take over once its grant ends. Test: a_leader_without_the_state_service_is_replaced, failed before.

--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -561,6 +561,11 @@
 
     fn beat(&mut self) {
         let now = self.now;
+        // A leader that only holds on must not keep the others from taking over: they may reach the
+        // state service that it has lost.
+        if !self.seat.valid(now) {
+            return;
+        }
         let Some(master) = self.master.as_mut().filter(|m| now >= m.next_beat) else { return };
         master.next_beat = now + Span::ms(1000);
         let jobs: Vec<(JobId, u32, u32)> = master
--- a/src/node/world/tests.rs
+++ b/src/node/world/tests.rs
@@ -187,6 +187,26 @@
     }
 }
 
+/// A leader that the state service refused went on telling its peers that it leads, and none of
+/// them took over for as long as the trouble lasted (tremorline, troubles, 238 to 273 s).
+#[test]
+fn a_leader_without_the_state_service_is_replaced() {
+    for seed in 500..504 {
+        let mut w = day(seed, |_| {});
+        w.run_until(20_000);
+        let leads = |w: &World, i: usize| {
+            let at = Time::from_ms(1_000_000 + w.now);
+            w.nodes[i].core.as_ref().is_some_and(|c| c.seat.valid(at))
+        };
+        let old = (0..NODES).find(|i| leads(&w, *i)).expect("somebody leads");
+        w.at(20_001, Event::Fault(Fault::Refuse(old, true)));
+        w.run_until(30_000);
+        assert!((0..NODES).any(|i| i != old && leads(&w, i)), "seed {seed}: nobody took over");
+        w.at(60_000, Event::Fault(Fault::Refuse(old, false)));
+        run(seed, w);
+    }
+}
+
 /// Whether some seed of a few breaks a rule under `faults` and a spoilt `world`.
 fn checker_notices(spoil: impl Fn(&mut World)) -> bool {
     (300..330).any(|seed| {
