--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -196,7 +196,7 @@
             degraded_reports: 1.6,
             unreachable_reports: 2.5,
             lost_reports: 4.0,
-            idle_return_s: 60.0,
+            idle_return_s: 45.0,
             boot_patience: 4.0,
             refusal_pause_s: 8.0,
             rent_at_most: 10,
