--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -278,6 +278,10 @@
             let stale = now.since(self.fresh_at) >= FRESHEN_EVERY;
             if !self.syncing && now >= self.next_sync && (self.desk.wants_read() || stale) {
                 self.syncing = true;
+                // All requests that wait share one read; reads of all nodes together stay within
+                // half of the service's rate, or a rush of users would starve the leader's grant.
+                let nodes = (self.settings.peers.len() + 1) as f64;
+                self.next_sync = now + Span::secs(2.0 * nodes / self.settings.state.rps);
                 self.desk.read_begins();
                 let request = StateRequest::Watch { prefix: jobs::PREFIX, from, block_ms: 0 };
                 self.ask_state(request, Pending::Sync { began: now });
--- a/src/node/world/tests.rs
+++ b/src/node/world/tests.rs
@@ -5,6 +5,7 @@
 use super::{Event, Fault, Host, NODES, Stage, World, job};
 use crate::node::{Core, Effect, Input, Method, Now};
 use crate::types::{OpId, Time, Wall};
+use crate::wire::state::{StateReply, StateRequest};
 use rand::RngExt;
 
 /// A day with jobs of all shapes; `faults` adds its troubles.
@@ -207,6 +208,34 @@
     }
 }
 
+/// However many users ask at once, reads for them stay within the node's part of the rate.
+#[test]
+fn a_rush_of_questions_shares_few_reads() {
+    let mut w = day(8, |_| {});
+    w.run_until(15_000);
+    let core = w.nodes[0].core.as_mut().expect("node 0 runs");
+    let mut reads = 0;
+    for ms in 0..1000 {
+        let now = Now { steady: Time::from_ms(1_015_000 + ms), wall: Wall(ms) };
+        let path = format!("/submissions/req-{}", 900_000 + ms);
+        let ask = Input::Http { request: OpId(1_000_000 + ms), method: Method::Get, path, body: Vec::new() };
+        let mut inputs = vec![ask];
+        while let Some(input) = inputs.pop() {
+            for effect in core.step(now, input) {
+                if let Effect::State { op, request: StateRequest::Watch { from, block_ms: 0, .. }, .. } =
+                    effect
+                {
+                    reads += 1;
+                    let reply = StateReply::Events { epoch: from, events: Vec::new() };
+                    inputs.push(Input::State { op, reply });
+                }
+            }
+        }
+    }
+    let rate = w.settings[0].state.rps;
+    assert!(reads >= 10 && f64::from(reads) <= rate / 2.0 / NODES as f64 + 2.0, "{reads} reads in a second");
+}
+
 /// Whether some seed of a few breaks a rule under `faults` and a spoilt `world`.
 fn checker_notices(spoil: impl Fn(&mut World)) -> bool {
     (300..330).any(|seed| {
