--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Raised when messages change; a node drops what it doesn't understand.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Envelope {
@@ -19,11 +19,12 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// "I am there", and what I can reach.
-    Ping { state_ok: bool, fence_seen: Fence, counts_at: (Fence, u64), hears_workers: bool },
-    /// From the leader: it leads, how jobs stand, and what was learned of machines.
-    Beat { fence: Fence, jobs: Vec<(JobId, u32, u32)>, learned_from: u64, learned: Vec<Learned> },
-    /// From the leader: the whole table of counts, for a controller that missed some.
-    Table { fence: Fence, at: u64, counts: Counts },
+    Ping { state_ok: bool, fence_seen: Fence, beat_at: (Fence, u64), hears_workers: bool },
+    /// From the leader: it leads, how jobs stand that have moved since its last beat, and what was
+    /// learned of machines.
+    Beat { fence: Fence, beat: u64, jobs: Vec<(JobId, u32, u32)>, learned: Vec<Learned> },
+    /// From the leader: all of that as of a beat, for a controller that missed some.
+    Table { fence: Fence, beat: u64, jobs: Vec<(JobId, u32, u32)>, counts: Counts },
     /// From the leader: a round's work inside the receiver's block.
     Offer { fence: Fence, block: u64, round: u64, machines: Vec<MachineView>, asks: Vec<TaskAsk> },
     /// The controller's answer.
@@ -50,6 +51,8 @@
 #[derive(Debug, Default)]
 pub struct Blocks {
     blocks: BTreeMap<NodeName, Block>,
+    /// Whose block each machine is in; rounds ask for it machine by machine.
+    owners: BTreeMap<MachineId, NodeName>,
     next_id: u64,
 }
 
@@ -59,7 +62,7 @@
     }
 
     pub fn owner(&self, machine: &MachineId) -> Option<&NodeName> {
-        self.blocks.iter().find(|(_, b)| b.machines.contains(machine)).map(|(n, _)| n)
+        self.owners.get(machine)
     }
 
     /// Whether the division no longer suits: a lease is over, a controller came or went, or
@@ -105,20 +108,25 @@
                 block.machines.insert(machine);
             }
         }
+        self.owners =
+            new.iter().flat_map(|(node, b)| b.machines.iter().map(|m| (m.clone(), node.clone()))).collect();
         self.blocks = new;
     }
 
     /// Adds a machine that came up to the smallest block.
     pub fn add(&mut self, machine: &MachineId) {
         if self.owner(machine).is_none()
-            && let Some(block) = self.blocks.values_mut().min_by_key(|b| b.machines.len())
+            && let Some((node, block)) = self.blocks.iter_mut().min_by_key(|(_, b)| b.machines.len())
         {
             block.machines.insert(machine.clone());
+            self.owners.insert(machine.clone(), node.clone());
         }
     }
 
     pub fn remove(&mut self, machine: &MachineId) {
-        for block in self.blocks.values_mut() {
+        if let Some(owner) = self.owners.remove(machine)
+            && let Some(block) = self.blocks.get_mut(&owner)
+        {
             block.machines.remove(machine);
         }
     }
@@ -129,7 +137,8 @@
         for machine in machines {
             self.remove(&machine);
             if let Some(block) = self.blocks.get_mut(node) {
-                block.machines.insert(machine);
+                block.machines.insert(machine.clone());
+                self.owners.insert(machine, node.clone());
             }
         }
     }
@@ -165,7 +174,7 @@
             PeerMessage::Ping {
                 state_ok: true,
                 fence_seen: Fence(4),
-                counts_at: (Fence(4), 9),
+                beat_at: (Fence(4), 9),
                 hears_workers: false,
             },
         );
--- a/src/gangs/mod.rs
+++ b/src/gangs/mod.rs
@@ -25,7 +25,7 @@
 /// Whether a gang's attempt can't go on: some of its tasks are placed, others are gone. The rest
 /// must leave before the next attempt.
 pub fn broken(run: &Run) -> bool {
-    run.is_gang() && !run.placed.is_empty() && !run.all_done() && run.waiting_count() > 0
+    run.is_gang() && !run.placed().is_empty() && !run.all_done() && run.waiting_count() > 0
 }
 
 /// The grace an orderly stop needs for a save: 0 where nothing is ever saved.
--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -55,9 +55,11 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub job: Arc<OpenJob>,
-    pub done: Bits,
+    done: Bits,
     /// Where the ledger has a task that isn't proved gone.
-    pub placed: BTreeMap<u32, MachineId>,
+    placed: BTreeMap<u32, MachineId>,
+    /// Tasks neither done nor placed, kept as a sum: it is asked for at every round.
+    open: u32,
     /// Tasks in a round now under way.
     pub offered: u32,
     /// Whose controller places it now.
@@ -82,6 +84,7 @@
     pub fn new(job: Arc<OpenJob>) -> Self {
         Self {
             home: job.home.clone(),
+            open: job.spec.tasks,
             job,
             done: Bits::default(),
             placed: BTreeMap::new(),
@@ -105,17 +108,61 @@
         self.done.count() >= self.job.spec.tasks
     }
 
-    pub fn waiting_count(&self) -> u32 {
+    pub fn done(&self) -> &Bits {
+        &self.done
+    }
+
+    pub fn placed(&self) -> &BTreeMap<u32, MachineId> {
+        &self.placed
+    }
+
+    pub fn place(&mut self, index: u32, machine: MachineId) {
+        if self.placed.insert(index, machine).is_none() && !self.done.has(index) {
+            self.open = self.open.saturating_sub(1);
+        }
+    }
+
+    /// The task is off `machine`, if that is where it was.
+    pub fn unplace(&mut self, index: u32, machine: &MachineId) {
+        if self.placed.get(&index) == Some(machine) {
+            self.placed.remove(&index);
+            if !self.done.has(index) {
+                self.open += 1;
+                self.low = self.low.min(index);
+            }
+        }
+    }
+
+    pub fn mark_done(&mut self, index: u32) {
+        if self.done.add(index) && !self.placed.contains_key(&index) {
+            self.open = self.open.saturating_sub(1);
+        }
+    }
+
+    /// Takes in progress recorded earlier.
+    pub fn add_chunk(&mut self, n: u32, value: &str) -> Result<(), serde_json::Error> {
+        let read = self.done.add_chunk(n, value);
+        self.open = self.recount();
+        read
+    }
+
+    /// `waiting_count` from the ground up.
+    pub fn recount(&self) -> u32 {
         let placed_undone = self.placed.keys().filter(|i| !self.done.has(**i)).count() as u32;
-        self.job.spec.tasks - self.done.count() - placed_undone
+        self.job.spec.tasks.saturating_sub(self.done.count() + placed_undone)
+    }
+
+    pub fn waiting_count(&self) -> u32 {
+        self.open
     }
 
     /// Up to `most` tasks that are neither done nor placed.
     pub fn waiting(&mut self, most: usize) -> Vec<u32> {
         let tasks = self.job.spec.tasks;
-        while self.low < tasks && self.done.has(self.low) {
+        while self.low < tasks && (self.done.has(self.low) || self.placed.contains_key(&self.low)) {
             self.low += 1;
         }
+        let most = most.min(self.open as usize);
         (self.low..tasks).filter(|i| !self.done.has(*i) && !self.placed.contains_key(i)).take(most).collect()
     }
 }
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -17,7 +17,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-pub(super) const COUNTS_KEY: &str = "counts";
+pub(super) const COUNTS_PREFIX: &str = "counts/";
 /// How often nodes tell one another that they are there.
 const PING_EVERY: Span = Span::ms(1000);
 /// Silence after which a peer counts as away.
@@ -65,7 +65,7 @@
 pub(super) struct PeerState {
     pub heard: Time,
     pub state_ok: bool,
-    pub counts_at: (Fence, u64),
+    pub beat_at: (Fence, u64),
     /// Whether workers that find no leader have turned to it lately.
     pub hears_workers: bool,
 }
@@ -102,7 +102,7 @@
     /// How jobs stand, as the leader told last.
     standings: BTreeMap<JobId, (u32, u32)>,
     pub(super) counts: Counts,
-    counts_at: (Fence, u64),
+    beat_at: (Fence, u64),
     counts_loaded: bool,
     user_writes: Budget,
     pub(super) master: Option<Master>,
@@ -113,7 +113,8 @@
     pub fn new(settings: Arc<Settings>, seed: u64) -> Self {
         let o = &settings.operator;
         let seat = Seat::new(settings.node.clone(), Span::ms(o.leader_grant_ms), Span::ms(o.leader_renew_ms));
-        let user_writes = Budget::new((settings.state.write_rps * o.user_write_share).max(1.0));
+        let nodes = (settings.peers.len() + 1) as f64;
+        let user_writes = Budget::new((settings.state.write_rps * o.user_write_share / nodes).max(1.0));
         Self {
             rng: StdRng::seed_from_u64(seed),
             now: Time::default(),
@@ -142,7 +143,7 @@
             next_types: Time::default(),
             standings: BTreeMap::new(),
             counts: Counts::default(),
-            counts_at: (Fence(0), 0),
+            beat_at: (Fence(0), 0),
             counts_loaded: false,
             user_writes,
             master: None,
@@ -169,6 +170,11 @@
         }
         let changed = self.mirror.take_changed();
         if !changed.is_empty() {
+            for id in &changed {
+                if self.mirror.get(id).is_some_and(|k| !k.record.is_open()) {
+                    self.standings.remove(id);
+                }
+            }
             self.jobs_changed(changed);
         }
         self.pump();
@@ -226,7 +232,7 @@
             let ping = PeerMessage::Ping {
                 state_ok: self.state_ok(),
                 fence_seen: self.top_fence,
-                counts_at: self.counts_at,
+                beat_at: self.beat_at,
                 hears_workers: now.since(self.heard_worker) < Span::ms(3000),
             };
             for peer in self.settings.clone().peers.iter() {
@@ -245,7 +251,8 @@
             self.types_op = Some(self.ask_cloud(CloudRequest::Types));
         }
         if !self.counts_loaded && !self.ops.values().any(|p| matches!(p, Pending::Counts)) {
-            self.ask_state(StateRequest::Get { key: COUNTS_KEY.into() }, Pending::Counts);
+            let request = StateRequest::Range { prefix: COUNTS_PREFIX, after: None, most: PAGE };
+            self.ask_state(request, Pending::Counts);
         }
         self.master_tick();
     }
@@ -526,16 +533,16 @@
                 StateReply::Conflict { .. } => self.desk.wait(waiting),
                 _ => self.refuse(waiting.request, 503, "the state service can't be written now; come back"),
             },
-            Pending::Counts => match reply {
-                StateReply::Found(pair) => {
+            Pending::Counts => {
+                if let StateReply::Pairs { pairs, .. } = reply {
                     self.counts_loaded = true;
-                    if let Ok(counts) = serde_json::from_str(&pair.value) {
-                        self.counts = counts;
+                    for pair in pairs {
+                        if let Err(error) = self.counts.add_part(&pair.value) {
+                            tracing::error!(key = pair.key, %error, "counts can't be read; skipped");
+                        }
                     }
                 }
-                StateReply::Missing { .. } => self.counts_loaded = true,
-                _ => {}
-            },
+            }
             Pending::Master(fence, op) => self.master_state(fence, op, reply),
         }
     }
@@ -566,7 +573,7 @@
             if let CloudReply::Types(types) = reply {
                 self.types = types;
                 if let Some(master) = &mut self.master {
-                    master.set_types(self.types.clone());
+                    master.set_types(self.types.clone(), self.now);
                 }
             }
             return;
@@ -588,30 +595,30 @@
             return;
         }
         match message {
-            PeerMessage::Ping { state_ok, fence_seen, counts_at, hears_workers } => {
+            PeerMessage::Ping { state_ok, fence_seen, beat_at, hears_workers } => {
                 self.saw_fence(fence_seen);
-                let state = PeerState { heard: self.now, state_ok, counts_at, hears_workers };
+                let state = PeerState { heard: self.now, state_ok, beat_at, hears_workers };
                 self.peers.insert(from, state);
             }
-            PeerMessage::Beat { fence, jobs, learned_from, learned } => {
+            PeerMessage::Beat { fence, beat, jobs, learned } => {
                 if !self.heed(fence, &from) {
                     return;
                 }
-                self.standings = jobs.into_iter().map(|(id, done, running)| (id, (done, running))).collect();
-                // Only an unbroken run of outcomes is taken in; a gap is mended by a table.
-                let (known, at) = self.counts_at;
-                if known == fence && at >= learned_from {
-                    let skip = (at - learned_from) as usize;
-                    for l in learned.iter().skip(skip) {
-                        self.counts.learn(l);
-                    }
-                    self.counts_at.1 = at.max(learned_from + learned.len() as u64);
+                // Only an unbroken run of beats is taken in; a gap is mended by a table.
+                if self.beat_at == (fence, beat.wrapping_sub(1)) {
+                    self.beat_at.1 = beat;
+                    learned.iter().for_each(|l| self.counts.learn(l));
+                    self.take_standings(jobs);
+                } else if self.beat_at != (fence, beat) {
+                    self.beat_at = (Fence(0), 0);
                 }
             }
-            PeerMessage::Table { fence, at, counts } => {
+            PeerMessage::Table { fence, beat, jobs, counts } => {
                 if self.heed(fence, &from) {
                     self.counts = counts;
-                    self.counts_at = (fence, at);
+                    self.beat_at = (fence, beat);
+                    self.standings.clear();
+                    self.take_standings(jobs);
                 }
             }
             PeerMessage::Offer { fence, block, round, mut machines, asks } => {
@@ -633,6 +640,10 @@
         }
     }
 
+    fn take_standings(&mut self, jobs: Vec<(JobId, u32, u32)>) {
+        self.standings.extend(jobs.into_iter().map(|(id, done, running)| (id, (done, running))));
+    }
+
     /// Whether to listen to a leader with `fence`; remembers it for redirects.
     fn heed(&mut self, fence: Fence, from: &NodeName) -> bool {
         self.saw_fence(fence);
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -5,7 +5,7 @@
 mod upkeep;
 
 use super::Effect;
-use super::core::{COUNTS_KEY, Core, MasterOp, PEER_SILENCE, Pending, factors};
+use super::core::{COUNTS_PREFIX, Core, MasterOp, PEER_SILENCE, Pending, factors};
 use crate::blocks::{Blocks, PeerMessage};
 use crate::fleet::{self, Coming, Market, Offer};
 use crate::gangs::{self, Attempts};
@@ -32,12 +32,21 @@
 const PROGRESS_PREFIX: &str = "p/";
 const PAGE: u32 = 200;
 const HOUSEKEEPING_EVERY: Span = Span::ms(500);
+/// Workers that are told the fence directly at a time.
+const PUSHES_AT_ONCE: usize = 8;
 /// A returned machine's late reports and listings are ignored for this long.
 const TOMB_LIFE: Span = Span::ms(600_000);
+/// How often what waits is looked through for rounds. Going through it after every input took
+/// most of a leader's processor share with hundreds of machines.
+const OFFERS_EVERY: Span = Span::ms(100);
 /// Slack left off the time for which a leader without the state service answers reports.
 const HOLD_MARGIN_S: f64 = 4.0;
 /// How long a job waits for the room it made before it makes more, besides a save.
 const PREEMPT_PAUSE: Span = Span::ms(2000);
+/// How long a search for room that found none holds good, and searches in one look at what waits:
+/// each goes through the whole fleet.
+const PREEMPT_AGAIN: Span = Span::ms(1000);
+const PREEMPTIONS_AT_ONCE: usize = 2;
 /// While most machines are silent, none is given up for this many report intervals.
 const SUSPECT_REPORTS: f64 = 4.0;
 /// After this long a controller that let a round time out is offered work again.
@@ -83,6 +92,12 @@
     stocked: bool,
     progress: Vec<Pair>,
     machines: BTreeMap<MachineId, Machine>,
+    /// What teams take on all machines, kept as sums.
+    used: BTreeMap<TeamName, Room>,
+    /// Machines that report tasks the ledger doesn't know.
+    stray_on: BTreeSet<MachineId>,
+    /// Jobs within their team's guarantee, until the jobs change.
+    guaranteed: Option<Arc<BTreeSet<JobId>>>,
     tombs: BTreeMap<MachineId, Time>,
     runs: BTreeMap<JobId, Run>,
     journal: Journal,
@@ -100,7 +115,10 @@
     /// Moves on with everything that may let a waiting task fit.
     room_version: u64,
     learned: Vec<Learned>,
-    learned_from: u64,
+    /// Beats sent so far, and jobs that have moved since the last one.
+    beats: u64,
+    touched: BTreeSet<JobId>,
+    next_offers: Time,
     cloud_ops: BTreeMap<OpId, CloudOp>,
     cloud_calls: Budget,
     list_after: Option<MachineId>,
@@ -128,11 +146,11 @@
     /// (done, running) of a job.
     pub(super) fn standing_of(&self, id: &JobId) -> Option<(u32, u32)> {
         let run = self.runs.get(id)?;
-        let running = run.placed.iter().filter(|(index, machine)| {
+        let running = run.placed().iter().filter(|(index, machine)| {
             let task = TaskId { job: id.clone(), index: **index };
             self.machines.get(*machine).and_then(|m| m.entries.get(&task)).is_some_and(Entry::is_running)
         });
-        Some((run.done.count(), running.count() as u32))
+        Some((run.done().count(), running.count() as u32))
     }
 
     /// Whether a copy of the job records as of `fresh_at` is too old to build the runs from.
@@ -145,14 +163,31 @@
         self.stocked
     }
 
-    fn used(&self) -> BTreeMap<TeamName, Room> {
-        ledger::used_by_team(self.machines.values().flat_map(|m| m.entries.values()))
+    /// Brings the kept sums in line after a change of a machine's entries.
+    fn recount(&mut self, machine: &MachineId, now: Time) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.recount(&mut self.used, now);
+            if m.strays.is_empty() {
+                self.stray_on.remove(machine);
+            } else {
+                self.stray_on.insert(machine.clone());
+            }
+        }
+    }
+
+    fn touch(&mut self, job: &JobId) {
+        if !self.touched.contains(job) {
+            self.touched.insert(job.clone());
+        }
     }
 
     /// How many tasks of `job` count in each zone.
     fn zones_of(&self, job: &JobId, run: &Run) -> BTreeMap<Zone, u32> {
         let mut zones = BTreeMap::new();
-        for (index, machine) in &run.placed {
+        if !run.job.spec.spread && !run.job.spec.together {
+            return zones; // nothing depends on them
+        }
+        for (index, machine) in run.placed() {
             let task = TaskId { job: job.clone(), index: *index };
             if let Some(m) = self.machines.get(machine)
                 && m.entries.get(&task).is_some_and(Entry::counts)
@@ -164,11 +199,13 @@
     }
 
     /// Zones that `job` may use, and how many more of its tasks each may take.
-    fn zone_room(&self, job: &JobId, run: &Run, all: &BTreeSet<Zone>) -> Vec<(Zone, u32)> {
+    fn zone_room(&self, job: &JobId, run: &Run) -> Vec<(Zone, u32)> {
         let spec = &run.job.spec;
         let here = self.zones_of(job, run);
         let cap = spec.zone_cap();
-        all.iter()
+        self.settings
+            .zones
+            .iter()
             .filter(|z| spec.zone_allowed(z))
             .filter(|z| !spec.together || here.is_empty() || here.contains_key(*z))
             .map(|z| (z.clone(), cap.saturating_sub(here.get(z).copied().unwrap_or(0))))
@@ -195,20 +232,22 @@
     fn stop_task(&mut self, machine: &MachineId, task: &TaskId, grace_s: f64, now: Time) {
         let Some(m) = self.machines.get_mut(machine) else { return };
         self.to_direct.insert(machine.clone());
+        if !self.touched.contains(&task.job) {
+            self.touched.insert(task.job.clone());
+        }
         if m.stop(task, grace_s, now).is_some() {
             self.dirty.insert(machine.clone());
             self.room_version += 1;
-            if let Some(run) = self.runs.get_mut(&task.job)
-                && run.placed.get(&task.index) == Some(machine)
-            {
-                run.placed.remove(&task.index);
+            if let Some(run) = self.runs.get_mut(&task.job) {
+                run.unplace(task.index, machine);
             }
+            self.recount(machine, now);
         }
     }
 
     fn stop_job(&mut self, id: &JobId, grace_s: f64, now: Time) {
         let placed: Vec<(u32, MachineId)> = match self.runs.get(id) {
-            Some(run) => run.placed.iter().map(|(i, m)| (*i, m.clone())).collect(),
+            Some(run) => run.placed().iter().map(|(i, m)| (*i, m.clone())).collect(),
             None => return,
         };
         for (index, machine) in placed {
@@ -220,8 +259,7 @@
 impl Master {
     fn new(settings: Arc<Settings>, fence: Fence, now: Time, types: Vec<MachineType>) -> Self {
         let o = &settings.operator;
-        let users = o.user_write_share * (settings.peers.len() + 1) as f64;
-        let own_share = 1.0 - users.min(0.75);
+        let own_share = 1.0 - o.user_write_share;
         let market = Market::new(types);
         Self {
             fence,
@@ -231,6 +269,9 @@
             stocked: false,
             progress: Vec::new(),
             machines: BTreeMap::new(),
+            used: BTreeMap::new(),
+            stray_on: BTreeSet::new(),
+            guaranteed: None,
             tombs: BTreeMap::new(),
             runs: BTreeMap::new(),
             journal: Journal::new(leader::KEY, fence, settings.state.txn_ops),
@@ -247,7 +288,9 @@
             next_round: 0,
             room_version: 1,
             learned: Vec::new(),
-            learned_from: 0,
+            beats: 0,
+            touched: BTreeSet::new(),
+            next_offers: now,
             cloud_ops: BTreeMap::new(),
             cloud_calls: Budget::new(settings.cloud.rps * 0.7),
             list_after: None,
@@ -270,10 +313,11 @@
         }
     }
 
-    pub(super) fn set_types(&mut self, types: Vec<MachineType>) {
+    pub(super) fn set_types(&mut self, types: Vec<MachineType>, now: Time) {
         for m in self.machines.values_mut() {
             if let Some(t) = types.iter().find(|t| t.name == m.type_name) {
                 m.total = t.room();
+                m.recount(&mut self.used, now);
             }
         }
         self.market.types = types;
@@ -406,8 +450,8 @@
             match known.record.open() {
                 Some(job) => {
                     master.journal.loaded(&jobs::key(&id), known.stamp);
+                    master.guaranteed = None;
                     master.runs.entry(id).or_insert_with(|| Run::new(job.clone()));
-                    master.room_version += 1;
                 }
                 None => master.job_over(&id, now),
             }
@@ -594,42 +638,62 @@
         }
         let Some(master) = self.master.as_mut().filter(|m| now >= m.next_beat) else { return };
         master.next_beat = now + Span::ms(1000);
-        let jobs: Vec<(JobId, u32, u32)> = master
-            .runs
-            .keys()
-            .filter_map(|id| master.standing_of(id).map(|(d, r)| (id.clone(), d, r)))
-            .filter(|(_, done, running)| done + running > 0)
-            .take(4000)
+        master.beats += 1;
+        let touched = std::mem::take(&mut master.touched);
+        let standings = |ids: &mut dyn Iterator<Item = &JobId>| -> Vec<(JobId, u32, u32)> {
+            ids.filter_map(|id| master.standing_of(id).map(|(d, r)| (id.clone(), d, r))).collect()
+        };
+        let jobs = standings(&mut touched.iter());
+        let (fence, beat) = (master.fence, master.beats);
+        // A controller that has missed a beat gets everything instead; an answer may be under way.
+        let in_step = |p: &super::core::PeerState| p.beat_at.0 == fence && p.beat_at.1 + 4 >= beat;
+        let peers: Vec<(NodeName, bool)> = self
+            .settings
+            .peers
+            .iter()
+            .map(|p| (p.name.clone(), self.peers.get(&p.name).is_some_and(in_step)))
             .collect();
+        let all = match peers.iter().all(|(_, in_step)| *in_step) {
+            true => Vec::new(),
+            false => standings(&mut master.runs.keys()),
+        };
         let learned = std::mem::take(&mut master.learned);
         learned.iter().for_each(|l| self.counts.learn(l));
-        let from = master.learned_from;
-        master.learned_from += learned.len() as u64;
-        let (fence, at) = (master.fence, master.learned_from);
         let save = now >= master.next_counts && master.loaded();
         if save {
             master.next_counts = now + Span::secs(self.settings.operator.counts_save_s);
             let present: BTreeSet<MachineId> = master.machines.keys().cloned().collect();
             self.counts.keep(|id| present.contains(id));
         }
-        for peer in self.settings.clone().peers.iter() {
-            // A controller that has missed outcomes gets the whole table instead.
-            let in_step = self.peers.get(&peer.name).is_some_and(|p| p.counts_at.0 == fence);
-            let message =
-                PeerMessage::Beat { fence, jobs: jobs.clone(), learned_from: from, learned: learned.clone() };
-            self.send_peer(&peer.name, message);
-            if !in_step {
-                let counts = self.counts.clone();
-                self.send_peer(&peer.name, PeerMessage::Table { fence, at, counts });
-            }
+        for (peer, in_step) in peers {
+            let message = if in_step {
+                PeerMessage::Beat { fence, beat, jobs: jobs.clone(), learned: learned.clone() }
+            } else {
+                PeerMessage::Table { fence, beat, jobs: all.clone(), counts: self.counts.clone() }
+            };
+            self.send_peer(&peer, message);
         }
         if save && self.master_valid() {
-            let value = self.counts.to_value((self.settings.state.value_kb * 900.0) as usize);
-            let request = StateRequest::Commit {
-                conditions: vec![(leader::KEY.into(), Stamp(fence.0))],
-                changes: vec![Change::Put { key: COUNTS_KEY.into(), value, permit: None }],
-            };
-            self.ask_state(request, Pending::Master(fence, MasterOp::SaveCounts));
+            let (max_bytes, most) = (
+                (self.settings.state.value_kb * 900.0).min(14_000.0) as usize,
+                self.settings.state.txn_ops.min(4),
+            );
+            let parts = self.counts.take_changed(placement::PARTS as usize, max_bytes);
+            for parts in parts.chunks(most) {
+                if let Some(master) = &mut self.master {
+                    master.writes.take(parts.len() as f64, now);
+                }
+                let put = |(part, value): &(u32, String)| Change::Put {
+                    key: format!("{COUNTS_PREFIX}{part}"),
+                    value: value.clone(),
+                    permit: None,
+                };
+                let request = StateRequest::Commit {
+                    conditions: vec![(leader::KEY.into(), Stamp(fence.0))],
+                    changes: parts.iter().map(put).collect(),
+                };
+                self.ask_state(request, Pending::Master(fence, MasterOp::SaveCounts));
+            }
         }
     }
 
@@ -729,8 +793,11 @@
         let now = self.now;
         let Some(master) = &mut self.master else { return };
         let mut pushes = Vec::new();
-        for id in std::mem::take(&mut master.to_push) {
-            let Some(m) = master.machines.get(&id) else { continue };
+        // A few at a time: most workers learn the fence by their next report before their turn comes.
+        while master.pushes.len() + pushes.len() < PUSHES_AT_ONCE
+            && let Some(id) = master.to_push.pop_first()
+        {
+            let Some(m) = master.machines.get(&id).filter(|m| m.fence < master.fence) else { continue };
             let Some(addr) = m.addr.clone() else { continue };
             let session = m.session.max(m.push_session);
             pushes.push((id, addr, workers::command(master.fence, session, &[])));
@@ -745,7 +812,8 @@
         if !self.master.as_ref().is_some_and(Master::loaded) {
             return;
         }
-        if self.may_start() {
+        let due = self.master.as_ref().is_some_and(|m| now >= m.next_offers);
+        if due && self.may_start() {
             self.offer_rounds();
         }
         self.send_directs();
@@ -797,6 +865,7 @@
         let me = self.settings.node.clone();
         let silent = |p: &super::core::PeerState| now.since(p.heard) >= PEER_SILENCE;
         let Some(master) = &mut self.master else { return };
+        master.next_offers = now + OFFERS_EVERY;
         let mut live: BTreeSet<NodeName> =
             self.peers.iter().filter(|(_, p)| !silent(p)).map(|(n, _)| n.clone()).collect();
         live.retain(|n| master.slow_until.get(n).is_none_or(|until| *until <= now));
@@ -927,12 +996,13 @@
         let mut gone = Vec::new();
         for m in master.machines.values_mut() {
             if m.last_report.is_some_and(|at| now.since(at) > Span::ms(ms)) {
-                gone.extend(std::mem::take(&mut m.entries).into_keys());
+                gone.extend(std::mem::take(&mut m.entries).into_keys().map(|t| (t, m.id.clone())));
+                m.recount(&mut master.used, now);
             }
         }
-        for task in gone {
+        for (task, machine) in gone {
             if let Some(run) = master.runs.get_mut(&task.job) {
-                run.placed.remove(&task.index);
+                run.unplace(task.index, &machine);
             }
             master.room_version += 1;
         }
@@ -940,12 +1010,36 @@
 
     pub(super) fn sabotage_done_early(&mut self) {
         let Some(master) = &mut self.master else { return };
-        for run in master.runs.values_mut().filter(|r| r.done.count() * 2 >= r.job.spec.tasks) {
-            if run.done.count() > 0 {
-                (0..run.job.spec.tasks).for_each(|i| {
-                    run.done.add(i);
-                });
+        for run in master.runs.values_mut().filter(|r| r.done().count() * 2 >= r.job.spec.tasks) {
+            if run.done().count() > 0 {
+                (0..run.job.spec.tasks).for_each(|i| run.mark_done(i));
             }
         }
     }
+
+    /// The kept sums against a recount from the ground up.
+    pub(super) fn sums_hold(&self) -> Result<(), String> {
+        let Some(master) = &self.master else { return Ok(()) };
+        let entries = master.machines.values().flat_map(|m| m.entries.values());
+        let used = ledger::used_by_team(entries);
+        for team in master.used.keys().chain(used.keys()) {
+            let of = |sums: &BTreeMap<TeamName, Room>| sums.get(team).copied().unwrap_or_default();
+            let (kept, real) = (of(&master.used), of(&used));
+            if !kept.fits_in(&real) || !real.fits_in(&kept) {
+                return Err(format!("team {team}: kept {kept:?}, recounted {real:?}"));
+            }
+        }
+        for m in master.machines.values() {
+            let booked = m.entries.values().filter(|e| e.counts());
+            let free = booked.fold(m.total, |free, e| free.minus(&e.room));
+            let empty = !m.entries.values().any(Entry::counts) && m.strays.is_empty();
+            if !free.fits_in(&m.free()) || !m.free().fits_in(&free) || empty != m.is_empty() {
+                return Err(format!("{}: kept {:?}, recounted {free:?}", m.id, m.free()));
+            }
+        }
+        match master.runs.iter().find(|(_, r)| r.recount() != r.waiting_count()) {
+            Some((id, r)) => Err(format!("{id}: {} wait, kept {}", r.recount(), r.waiting_count())),
+            None => Ok(()),
+        }
+    }
 }
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -16,7 +16,10 @@
     }
 
     /// Jobs within their team's guarantee, alongside the team's earlier unfinished jobs.
-    pub(super) fn guaranteed(&self) -> BTreeSet<JobId> {
+    pub(super) fn guaranteed(&mut self) -> Arc<BTreeSet<JobId>> {
+        if let Some(known) = &self.guaranteed {
+            return known.clone();
+        }
         let mut jobs: Vec<(&JobId, &Run)> = self.runs.iter().collect();
         jobs.sort_by_key(|(id, r)| (r.job.submitted, (*id).clone()));
         let mut taken: BTreeMap<&TeamName, Room> = BTreeMap::new();
@@ -32,12 +35,13 @@
                 out.insert(id.clone());
             }
         }
+        let out = Arc::new(out);
+        self.guaranteed = Some(out.clone());
         out
     }
 
     /// What waits, most urgent first, as far as teams' limits allow.
     pub(super) fn waiting_asks(&mut self, most: usize, now: Time, retry: bool) -> Vec<TaskAsk> {
-        let zones: BTreeSet<Zone> = self.settings.zones.iter().cloned().collect();
         let version = self.room_version;
         let mut ids: Vec<JobId> = self
             .runs
@@ -51,8 +55,8 @@
             return Vec::new();
         }
         let guaranteed = self.guaranteed();
-        ids.sort_by_key(|id| self.order_key(id, &self.runs[id], &guaranteed));
-        let mut used = self.used();
+        ids.sort_by_cached_key(|id| self.order_key(id, &self.runs[id], &guaranteed));
+        let mut used = self.used.clone();
         for run in self.runs.values().filter(|r| r.offered > 0) {
             let sum = used.entry(run.job.spec.team.clone()).or_default();
             *sum = sum.plus(&run.job.spec.room.times(f64::from(run.offered)));
@@ -65,10 +69,10 @@
             }
             let Some(run) = self.runs.get(&id) else { continue };
             let spec = run.job.spec.clone();
-            let zones = self.zone_room(&id, run, &zones);
+            let zones = self.zone_room(&id, run);
             let Some(run) = self.runs.get_mut(&id) else { continue };
             let gang = run.is_gang();
-            if gang && !run.placed.is_empty() {
+            if gang && !run.placed().is_empty() {
                 run.why = "the gang's last attempt is not off its machines yet";
                 continue;
             }
@@ -111,43 +115,72 @@
             let lease = Span::secs(self.settings.operator.block_lease_s);
             self.blocks.cut(&up, &work, lease, now);
         }
-        let most = self.settings.operator.round_tasks;
+        let asks = self.waiting_asks(self.settings.operator.round_tasks, now, false);
+        if asks.is_empty() {
+            return Vec::new();
+        }
+        let views = self.open_views(&asks, now);
         let mut by_node: BTreeMap<NodeName, Vec<TaskAsk>> = BTreeMap::new();
-        for ask in self.waiting_asks(most, now, false) {
+        let mut scans = PREEMPTIONS_AT_ONCE;
+        for ask in asks {
             let Some(run) = self.runs.get_mut(&ask.job) else { continue };
             if !live.contains(&run.home) {
                 run.home = me.clone();
             }
-            if !self.offers.contains_key(&run.home) {
-                by_node.entry(run.home.clone()).or_default().push(ask);
+            let home = run.home.clone();
+            if self.offers.contains_key(&home) {
+                continue;
             }
+            // What fits nowhere is not offered: a round's answer would only say the same.
+            if !self.make_fit(&home, &ask, &views) {
+                if scans > 0 {
+                    scans -= usize::from(self.preempt(&ask, now));
+                }
+                continue;
+            }
+            by_node.entry(home).or_default().push(ask);
         }
         let mut rounds = Vec::new();
         for (node, asks) in by_node {
-            for m in self.machines.values().filter(|m| m.standing == Standing::Up) {
-                if self.blocks.owner(&m.id).is_none() {
-                    self.blocks.add(&m.id);
-                }
-            }
-            let Some(block) = self.blocks.get(&node) else { continue };
-            let views: Vec<MachineView> = block
-                .machines
+            let Some(id) = self.blocks.get(&node).map(|b| b.id) else { continue };
+            let machines: Vec<MachineView> = views
                 .iter()
-                .filter_map(|id| self.machines.get(id))
-                .filter(|m| m.open_for_tasks(now))
-                .map(|m| self.view(m, self.health(m, now), now))
+                .filter(|v| self.blocks.owner(&v.id) == Some(&node))
+                .filter(|v| asks.iter().any(|a| a.allows(v)))
+                .cloned()
                 .collect();
-            let id = block.id;
             for ask in &asks {
                 if let Some(run) = self.runs.get_mut(&ask.job) {
                     run.offered = ask.tasks.len() as u32;
                 }
             }
-            rounds.push((node, id, views, asks));
+            rounds.push((node, id, machines, asks));
         }
         rounds
     }
 
+    /// Machines that could take some task of `asks`: of a busy fleet that is a small part.
+    fn open_views(&mut self, asks: &[TaskAsk], now: Time) -> Vec<MachineView> {
+        let least = |of: fn(&Room) -> f64| asks.iter().map(|a| of(&a.room)).fold(f64::MAX, f64::min);
+        let least =
+            Room { cpus: least(|r| r.cpus), gpus: least(|r| r.gpus), memory_gb: least(|r| r.memory_gb) };
+        let mut views = Vec::new();
+        for m in self.machines.values() {
+            if m.standing != Standing::Up {
+                continue;
+            }
+            self.blocks.add(&m.id);
+            if !least.fits_in(&m.free()) || !m.open_for_tasks(now) {
+                continue;
+            }
+            let health = self.health(m, now);
+            if health != Health::Unreachable {
+                views.push(self.view(m, health, now));
+            }
+        }
+        views
+    }
+
     pub(super) fn health(&self, m: &Machine, now: Time) -> Health {
         let o = &self.settings.operator;
         let report = Span::secs(self.settings.workers.report_s);
@@ -155,7 +188,7 @@
     }
 
     /// A controller's proposals are in: commits those that the ledger and the global checks
-    /// allow; what didn't fit its block gets machines from other blocks, if any fits there.
+    /// allow. What found no place is looked at again with the next rounds.
     pub(super) fn close_round(
         &mut self,
         node: &NodeName,
@@ -179,11 +212,7 @@
                 .into_iter()
                 .filter(|(t, _)| ask.tasks.contains(t))
                 .collect();
-            let asked = ask.tasks.len();
-            let got = self.commit_placements(&ask, placements, now);
-            if got < asked {
-                self.make_fit(node, &ask, now);
-            }
+            self.commit_placements(&ask, placements, now);
         }
     }
 
@@ -198,7 +227,7 @@
         let Some(run) = self.runs.get(&ask.job) else { return 0 };
         let spec = run.job.spec.clone();
         let Some(team) = self.settings.teams.get(&spec.team).cloned() else { return 0 };
-        if gang && (placements.len() < spec.tasks as usize || !run.placed.is_empty()) {
+        if gang && (placements.len() < spec.tasks as usize || !run.placed().is_empty()) {
             return 0;
         }
         let attempt = self.attempts.issue();
@@ -225,10 +254,10 @@
                     planned_at: now,
                 },
             );
-            m.empty_since = None;
             self.dirty.insert(machine.clone());
+            self.recount(&machine, now);
             if let Some(run) = self.runs.get_mut(&ask.job) {
-                run.placed.insert(index, machine.clone());
+                run.place(index, machine.clone());
                 run.attempt = Some(attempt);
                 run.making_room_until = None;
             }
@@ -246,7 +275,7 @@
             return 0;
         }
         for (task, machine) in &placed {
-            tracing::info!(%task, %machine, kind = %spec.kind, "placed");
+            tracing::debug!(%task, %machine, kind = %spec.kind, "placed");
         }
         placed.len()
     }
@@ -263,12 +292,13 @@
         let (Some(run), Some(m)) = (self.runs.get(&task.job), self.machines.get(machine)) else {
             return false;
         };
-        let used = self.used().get(&spec.team).copied().unwrap_or_default();
-        let zones = self.zone_room(&task.job, run, &self.settings.zones.iter().cloned().collect());
-        let stray = self.machines.values().any(|m| m.strays.contains(task));
+        let used = self.used.get(&spec.team).copied().unwrap_or_default();
+        let zones = self.zone_room(&task.job, run);
+        let stray = self.stray_on.iter().filter_map(|id| self.machines.get(id));
+        let stray = stray.into_iter().any(|m| m.strays.contains(task));
         !run.finishing
-            && !run.done.has(task.index)
-            && !run.placed.contains_key(&task.index)
+            && !run.done().has(task.index)
+            && !run.placed().contains_key(&task.index)
             && !stray
             && m.open_for_tasks(now)
             && m.held_for(now).is_none_or(|j| *j == task.job)
@@ -280,56 +310,53 @@
             && ledger::within_limit(team, &used, &spec.room)
     }
 
-    /// Work that doesn't fit its controller's block: moves machines there that fit it, from
-    /// other blocks that have no round under way. If there is none, the work waits.
-    pub(super) fn make_fit(&mut self, node: &NodeName, ask: &TaskAsk, now: Time) {
+    /// Whether the work fits its controller's block, if need be after moving machines there that
+    /// fit it from blocks without a round under way. If not, it waits.
+    fn make_fit(&mut self, node: &NodeName, ask: &TaskAsk, views: &[MachineView]) -> bool {
+        // A gang needs room for all its tasks at once, with `together` in one zone.
+        let gang = ask.shape == Shape::Gang;
+        let need = if gang { ask.tasks.len() as u32 } else { 1 };
+        let (mut own, mut all): (BTreeMap<&Zone, u32>, BTreeMap<&Zone, u32>) = Default::default();
         let mut found = Vec::new();
-        let need = if ask.shape == Shape::Gang { ask.tasks.len() } else { 1 };
-        let mut room = 0;
-        for m in self.machines.values() {
-            let fits = m.open_for_tasks(now)
-                && m.held_for(now).is_none_or(|j| *j == ask.job)
-                && self.health(m, now) != Health::Unreachable
-                && ask.room.fits_in(&m.free())
-                && ask.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
-                && (ask.spot || !m.spot)
-                && ask.zones.iter().any(|(z, n)| *z == m.zone && *n > 0);
-            if !fits {
-                continue;
-            }
-            match self.blocks.owner(&m.id) {
-                Some(owner) if owner == node => {}
-                Some(owner) if self.offers.contains_key(owner) => {}
-                _ => {
-                    room += m.free().count_of(&ask.room) as usize;
-                    found.push(m.id.clone());
-                    if ask.shape != Shape::Gang && room >= need {
-                        break;
-                    }
-                }
+        for v in views.iter().filter(|v| ask.allows(v)) {
+            let zone = if gang && ask.together { Some(&v.zone) } else { None };
+            let slots = v.free.count_of(&ask.room);
+            let zone = zone.unwrap_or(&views[0].zone);
+            match self.blocks.owner(&v.id) {
+                Some(owner) if owner == node => *own.entry(zone).or_default() += slots,
+                Some(owner) if self.offers.contains_key(owner) => continue,
+                _ => found.push((zone, &v.id)),
             }
+            *all.entry(zone).or_default() += slots;
+        }
+        if own.values().any(|n| *n >= need) {
+            return true;
         }
         let version = self.room_version;
-        let Some(run) = self.runs.get_mut(&ask.job) else { return };
-        if found.is_empty() {
+        let Some(run) = self.runs.get_mut(&ask.job) else { return false };
+        let Some((zone, _)) = all.iter().filter(|(_, n)| **n >= need).max_by_key(|(_, n)| **n) else {
             run.tried = version;
             run.why = "no machine has room for it";
-            self.preempt(ask, now);
-        } else {
-            run.why = "machines move to its controller's block";
-            self.blocks.give(node, found);
-        }
+            return false;
+        };
+        run.why = "machines move to its controller's block";
+        let wanted = if gang { usize::MAX } else { ask.tasks.len() };
+        let moves = found.iter().filter(|(z, _)| z == zone).map(|(_, id)| (*id).clone()).take(wanted);
+        self.blocks.give(node, moves);
+        true
     }
 
-    /// Makes room for one task of a job that fits nowhere, if its rank allows that.
-    pub(super) fn preempt(&mut self, ask: &TaskAsk, now: Time) {
-        let Some(run) = self.runs.get(&ask.job) else { return };
+    /// Makes room for one task of a job that fits nowhere, if its rank allows that. Tells whether
+    /// the fleet was searched for it.
+    pub(super) fn preempt(&mut self, ask: &TaskAsk, now: Time) -> bool {
+        let Some(run) = self.runs.get_mut(&ask.job) else { return false };
         let spec = run.job.spec.clone();
         if run.making_room_until.is_some_and(|until| now < until)
             || (ask.shape == Shape::Gang && ask.tasks.len() > 1)
         {
-            return;
+            return false;
         }
+        run.making_room_until = Some(now + PREEMPT_AGAIN);
         let guaranteed = self.guaranteed();
         let mine = guaranteed.contains(&ask.job);
         let mut candidates = Vec::new();
@@ -367,7 +394,7 @@
             };
             candidates.push(Candidate { machine: m.id.clone(), free, victims, fetch_s });
         }
-        let Some((machine, tasks)) = preemption::choose(candidates, &ask.room) else { return };
+        let Some((machine, tasks)) = preemption::choose(candidates, &ask.room) else { return true };
         tracing::info!(job = %ask.job, %machine, tasks = tasks.len(), "preempts");
         let several = tasks.len() > 1;
         let mut longest = 0.0f64;
@@ -391,6 +418,7 @@
             run.making_room_until = Some(until);
             run.why = "others are making room for it";
         }
+        true
     }
 }
 
--- a/src/node/master/stock.rs
+++ b/src/node/master/stock.rs
@@ -32,7 +32,7 @@
                 planned_at: now,
             });
         }
-        m.empty_since = m.is_empty().then_some(now);
+        m.recount(&mut self.used, now);
     }
 
     /// All records are read: builds the runs, and stops what must not go on.
@@ -50,7 +50,7 @@
             };
             match (self.runs.get_mut(&JobId::from(id)), chunk.parse()) {
                 (Some(run), Ok(chunk)) => {
-                    if let Err(error) = run.done.add_chunk(chunk, &pair.value) {
+                    if let Err(error) = run.add_chunk(chunk, &pair.value) {
                         tracing::error!(key = pair.key, %error, "progress can't be read");
                     }
                 }
@@ -73,7 +73,7 @@
             m.entries.retain(|task, e| newest.get(task).is_none_or(|newest| e.attempt >= *newest));
             if m.entries.len() < before {
                 self.dirty.insert(m.id.clone());
-                m.empty_since = m.is_empty().then_some(now);
+                m.recount(&mut self.used, now);
             }
         }
         let entries: Vec<(MachineId, TaskId, EntryState, Attempt)> = self
@@ -83,11 +83,11 @@
             .collect();
         for (machine, task, state, attempt) in entries {
             match self.runs.get_mut(&task.job) {
-                Some(run) if !run.done.has(task.index) => {
-                    run.placed.insert(task.index, machine.clone());
+                Some(run) if !run.done().has(task.index) => {
+                    run.place(task.index, machine.clone());
                     run.attempt = Some(attempt);
                     if state == EntryState::Done {
-                        self.task_done(&machine, &task);
+                        self.task_done(&machine, &task, now);
                     }
                 }
                 _ => self.drop_or_stop(&machine, &task, now),
@@ -107,6 +107,7 @@
         if m.entries.get(task).is_some_and(|e| e.state == EntryState::Done) {
             m.entries.remove(task);
             self.dirty.insert(machine.clone());
+            self.recount(machine, now);
         } else {
             self.stop_task(machine, task, 0.0, now);
         }
@@ -119,8 +120,9 @@
         self.journal.give_up(&jobs::key(id));
         self.stop_job(id, 0.0, now);
         let Some(run) = self.runs.remove(id) else { return };
-        for (index, machine) in run.placed {
-            self.drop_or_stop(&machine, &TaskId { job: id.clone(), index }, now);
+        self.guaranteed = None;
+        for (index, machine) in run.placed() {
+            self.drop_or_stop(machine, &TaskId { job: id.clone(), index: *index }, now);
         }
         for chunk in 0..run.job.spec.tasks.div_ceil(jobs::CHUNK) {
             let key = format!("{PROGRESS_PREFIX}{id}/{chunk}");
@@ -162,11 +164,13 @@
             self.room_version += 1;
         }
         let id = report.machine.clone();
+        self.recount(&id, now);
         self.take_digest(&id, digest, now);
     }
 
     pub(super) fn take_digest(&mut self, machine: &MachineId, digest: Digest, now: Time) {
         for task in digest.began {
+            self.touch(&task.job);
             let Some(run) = self.runs.get(&task.job) else { continue };
             let image = run.job.spec.image.clone();
             if let Some(m) = self.machines.get_mut(machine) {
@@ -174,45 +178,41 @@
             }
         }
         for (task, _) in digest.done {
-            self.task_done(machine, &task);
+            self.touch(&task.job);
+            self.task_done(machine, &task, now);
         }
         for (task, entry, outcome) in digest.gone {
+            self.touch(&task.job);
             self.task_gone(machine, &task, &entry, outcome, now);
         }
     }
 
     /// A worker reports a task as done: records it, then lets go.
-    pub(super) fn task_done(&mut self, machine: &MachineId, task: &TaskId) {
+    pub(super) fn task_done(&mut self, machine: &MachineId, task: &TaskId, now: Time) {
         let Some(run) = self.runs.get_mut(&task.job) else {
             // The verdict on the job stands; nothing is left to record.
             if let Some(m) = self.machines.get_mut(machine) {
                 m.entries.remove(task);
                 self.dirty.insert(machine.clone());
             }
-            return;
+            return self.recount(machine, now);
         };
         if run.job.spec.shape == Shape::Service {
             // Services run until they are withdrawn: one that ends by itself is replaced.
-            run.placed.remove(&task.index);
+            run.unplace(task.index, machine);
             if let Some(m) = self.machines.get_mut(machine) {
                 m.entries.remove(task);
                 self.dirty.insert(machine.clone());
             }
-            return;
-        }
-        let already = self.recorded.values().flatten().any(|r| r.machine == *machine && r.task == *task);
-        if already {
-            return;
+            return self.recount(machine, now);
         }
         run.errors = 0;
         let kind = run.job.spec.kind.clone();
         if run.is_gang() {
             // They complete together: if one is done, all are.
-            (0..run.job.spec.tasks).for_each(|i| {
-                run.done.add(i);
-            });
+            (0..run.job.spec.tasks).for_each(|i| run.mark_done(i));
         } else {
-            run.done.add(task.index);
+            run.mark_done(task.index);
         }
         let over = run.all_done();
         self.learned.push(Learned { machine: machine.clone(), kind, success: true });
@@ -221,7 +221,7 @@
         } else {
             let chunk = task.index / jobs::CHUNK;
             let key = format!("{PROGRESS_PREFIX}{}/{chunk}", task.job);
-            let value = self.runs.get(&task.job).map(|r| r.done.chunk_value(chunk));
+            let value = self.runs.get(&task.job).map(|r| r.done().chunk_value(chunk));
             let version = self.journal.put(&key, value, true);
             (key, version)
         };
@@ -271,13 +271,11 @@
                 {
                     m.entries.remove(&r.task);
                     self.dirty.insert(r.machine.clone());
-                    if m.is_empty() {
-                        m.empty_since.get_or_insert(now);
-                    }
                 }
                 if let Some(run) = self.runs.get_mut(&r.task.job) {
-                    run.placed.remove(&r.task.index);
+                    run.unplace(r.task.index, &r.machine);
                 }
+                self.recount(&r.machine, now);
             }
         }
         let id: JobId = key.strip_prefix(jobs::PREFIX)?.into();
@@ -302,10 +300,8 @@
             m.not_before = now + Span::ms(2000);
         }
         let Some(run) = self.runs.get_mut(&task.job) else { return };
-        if run.placed.get(&task.index) == Some(machine) {
-            run.placed.remove(&task.index);
-        }
-        tracing::info!(%task, %machine, ?outcome, "task left");
+        run.unplace(task.index, machine);
+        tracing::debug!(%task, %machine, ?outcome, "task left");
         match outcome {
             Outcome::Failed => {
                 run.errors += 1;
@@ -374,7 +370,7 @@
             .expect("valid");
             m.take_report(&report, Time::from_ms(2));
             let run = &m.runs[&JobId::from("req-1")];
-            assert_eq!(run.placed.get(&0), Some(&MachineId::from(live)), "it is still on {live}");
+            assert_eq!(run.placed().get(&0), Some(&MachineId::from(live)), "it is still on {live}");
         }
     }
 }
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -132,9 +132,12 @@
         self.releasing.remove(id);
         self.tombs.insert(id.clone(), now);
         self.blocks.remove(id);
-        let Some(m) = self.machines.remove(id) else { return };
+        let Some(mut m) = self.machines.remove(id) else { return };
+        let entries = std::mem::take(&mut m.entries);
+        m.recount(&mut self.used, now);
+        self.stray_on.remove(id);
         self.dirty.remove(id);
-        for (task, entry) in m.entries {
+        for (task, entry) in entries {
             if entry.state == EntryState::Done {
                 continue; // being recorded; the outcome is known
             }
--- a/src/node/world/mod.rs
+++ b/src/node/world/mod.rs
@@ -328,6 +328,9 @@
         if let Some(sabotage) = self.sabotage {
             sabotage(core, self.now);
         }
+        if let Err(what) = core.sums_hold() {
+            self.rules.broken.push(format!("at {} ms: kept sums: {what}", self.now));
+        }
         for effect in effects {
             self.effect(i, life, effect);
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use rand_distr::{Distribution, Gamma};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine as a controller sees it for one round.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -48,7 +48,7 @@
 }
 
 impl TaskAsk {
-    fn allows(&self, m: &MachineView) -> bool {
+    pub fn allows(&self, m: &MachineView) -> bool {
         m.health != Health::Unreachable
             && m.held_for.as_ref().is_none_or(|j| *j == self.job)
             && (self.spot || !m.spot)
@@ -66,21 +66,19 @@
     pub machine: MachineId,
 }
 
+/// Alpha and beta.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Pair {
-    pub alpha: f32,
-    pub beta: f32,
-}
+pub struct Pair(pub f32, pub f32);
 
 impl Default for Pair {
     fn default() -> Self {
-        Self { alpha: 1.0, beta: 1.0 }
+        Self(1.0, 1.0)
     }
 }
 
 impl Pair {
     fn add(&mut self, success: bool) {
-        if success { self.alpha += 1.0 } else { self.beta += 1.0 }
+        if success { self.0 += 1.0 } else { self.1 += 1.0 }
     }
 }
 
@@ -92,45 +90,75 @@
     pub success: bool,
 }
 
+/// The kind-free pair, and one per kind.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-struct MachineCounts {
-    any: Pair,
-    kinds: BTreeMap<Kind, Pair>,
-}
+struct MachineCounts(Pair, BTreeMap<Kind, Pair>);
 
 /// Beta counts per machine and kind, with a kind-free fallback pair.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
     machines: BTreeMap<MachineId, MachineCounts>,
+    /// Parts of the saved table that have changed since they were saved.
+    #[serde(skip)]
+    changed: BTreeSet<u32>,
+}
+
+/// Keys that the saved table is spread over, so that each value stays small and only what has
+/// changed is written.
+pub const PARTS: u32 = 16;
+
+fn part_of(machine: &MachineId) -> u32 {
+    machine.as_str().bytes().fold(0u32, |h, b| h.wrapping_mul(31).wrapping_add(u32::from(b))) % PARTS
 }
 
 impl Counts {
     pub fn learn(&mut self, l: &Learned) {
+        self.changed.insert(part_of(&l.machine));
         let m = self.machines.entry(l.machine.clone()).or_default();
-        m.any.add(l.success);
-        m.kinds.entry(l.kind.clone()).or_default().add(l.success);
+        m.0.add(l.success);
+        m.1.entry(l.kind.clone()).or_default().add(l.success);
     }
 
     pub fn pair(&self, machine: &MachineId, kind: &Kind) -> Pair {
         let Some(m) = self.machines.get(machine) else { return Pair::default() };
-        m.kinds.get(kind).copied().unwrap_or(m.any)
+        m.1.get(kind).copied().unwrap_or(m.0)
     }
 
     /// Forgets machines that are gone, so that the table stays as small as the fleet.
     pub fn keep(&mut self, present: impl Fn(&MachineId) -> bool) {
-        self.machines.retain(|id, _| present(id));
+        let changed = &mut self.changed;
+        self.machines.retain(|id, _| {
+            let stays = present(id);
+            if !stays {
+                changed.insert(part_of(id));
+            }
+            stays
+        });
     }
 
-    /// As a JSON value of at most `max_bytes`: machines that don't fit lose their counts.
-    pub fn to_value(&self, max_bytes: usize) -> String {
-        let mut table = self.clone();
-        loop {
-            let text = serde_json::to_string(&table).unwrap_or_else(|_| "{}".into());
-            if text.len() <= max_bytes || table.machines.is_empty() {
-                return text;
+    /// The parts that have changed since they were last taken, at most `most`, each as a JSON
+    /// value of at most `max_bytes`: machines that don't fit lose their counts.
+    pub fn take_changed(&mut self, most: usize, max_bytes: usize) -> Vec<(u32, String)> {
+        let parts: BTreeSet<u32> = self.changed.iter().copied().take(most).collect();
+        self.changed.retain(|p| !parts.contains(p));
+        let mut out: BTreeMap<u32, (usize, BTreeMap<&MachineId, &MachineCounts>)> =
+            parts.iter().map(|p| (*p, (2, BTreeMap::new()))).collect();
+        for (id, counts) in &self.machines {
+            let Some((bytes, table)) = out.get_mut(&part_of(id)) else { continue };
+            let size = serde_json::to_string(counts).map_or(0, |t| t.len()) + id.as_str().len() + 4;
+            if *bytes + size <= max_bytes {
+                *bytes += size;
+                table.insert(id, counts);
             }
-            table.machines.pop_first();
         }
+        out.into_iter().map(|(p, (_, t))| (p, serde_json::to_string(&t).unwrap_or_default())).collect()
+    }
+
+    /// Takes in a saved part.
+    pub fn add_part(&mut self, value: &str) -> Result<(), serde_json::Error> {
+        let table: BTreeMap<MachineId, MachineCounts> = serde_json::from_str(value)?;
+        self.machines.extend(table);
+        Ok(())
     }
 }
 
@@ -177,7 +205,7 @@
     let gamma = |shape: f32, rng: &mut _| {
         Gamma::new(f64::from(shape.max(1e-3)), 1.0).map(|g| g.sample(rng)).unwrap_or(0.0)
     };
-    let (a, b) = (gamma(pair.alpha, rng), gamma(pair.beta, rng));
+    let (a, b) = (gamma(pair.0, rng), gamma(pair.1, rng));
     if a + b > 0.0 { a / (a + b) } else { 0.5 }
 }
 
@@ -407,6 +435,15 @@
                 success: true,
             });
         }
-        assert!(counts.to_value(4096).len() <= 4096);
+        let parts = counts.take_changed(99, 1024);
+        assert_eq!(parts.len(), PARTS as usize);
+        assert!(parts.iter().all(|(_, value)| value.len() <= 1024));
+        assert!(counts.take_changed(99, 1024).is_empty(), "only what has changed is written");
+        counts.learn(&Learned { machine: "m-3".into(), kind: "k".into(), success: true });
+        let mut back = Counts::default();
+        for (_, value) in counts.take_changed(99, 99_999) {
+            back.add_part(&value).expect("readable");
+        }
+        assert_eq!(back.pair(&"m-3".into(), &"k".into()), Pair(3.0, 1.0));
     }
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::ledger::{Entry, EntryState, MachineRecord, Stop};
 use crate::types::{
-    Attempt, Fence, Image, JobId, MachineId, Room, Session, Span, TaskId, Time, TypeName, Zone,
+    Attempt, Fence, Image, JobId, MachineId, Room, Session, Span, TaskId, TeamName, Time, TypeName, Zone,
 };
 use crate::wire::workers::{Cause, Order, Report, ReportedTask, TaskPhase};
 use std::collections::{BTreeMap, BTreeSet};
@@ -60,6 +60,11 @@
     /// When the cloud will take it away.
     pub taken_at: Option<Time>,
     pub entries: BTreeMap<TaskId, Entry>,
+    /// What the entries leave free, whether none counts, and what each team takes here: kept by
+    /// `recount`, since rounds ask far more often than entries change.
+    free: Room,
+    empty: bool,
+    tally: Vec<(TeamName, Room)>,
     /// Tasks reported that the ledger doesn't know: stopped, and until then nothing starts here.
     pub strays: BTreeSet<TaskId>,
     /// Images a task got here, in order of last use.
@@ -111,6 +116,9 @@
             fence: Fence(0),
             taken_at: None,
             entries: BTreeMap::new(),
+            free: total,
+            empty: true,
+            tally: Vec::new(),
             strays: BTreeSet::new(),
             images: Vec::new(),
             empty_since: Some(now),
@@ -139,11 +147,43 @@
     }
 
     pub fn free(&self) -> Room {
-        self.entries.values().filter(|e| e.counts()).fold(self.total, |free, e| free.minus(&e.room))
+        self.free
     }
 
     pub fn is_empty(&self) -> bool {
-        !self.entries.values().any(Entry::counts) && self.strays.is_empty()
+        self.empty
+    }
+
+    /// Brings the kept sums in line with the entries, and `used`, what teams take on all
+    /// machines. To be called after every change of them.
+    pub fn recount(&mut self, used: &mut BTreeMap<TeamName, Room>, now: Time) {
+        for (team, room) in std::mem::take(&mut self.tally) {
+            if let Some(sum) = used.get_mut(&team) {
+                *sum = sum.minus(&room);
+            }
+        }
+        self.free = self.total;
+        for e in self.entries.values().filter(|e| e.counts()) {
+            self.free = self.free.minus(&e.room);
+            match self.tally.iter_mut().find(|(team, _)| *team == e.team) {
+                Some((_, sum)) => *sum = sum.plus(&e.room),
+                None => self.tally.push((e.team.clone(), e.room)),
+            }
+        }
+        for (team, room) in &self.tally {
+            match used.get_mut(team) {
+                Some(sum) => *sum = sum.plus(room),
+                None => {
+                    used.insert(team.clone(), *room);
+                }
+            }
+        }
+        self.empty = self.tally.is_empty() && self.strays.is_empty();
+        if !self.empty {
+            self.empty_since = None;
+        } else if self.empty_since.is_none() {
+            self.empty_since = Some(now);
+        }
     }
 
     pub fn health(&self, now: Time, report: Span, degraded: f64, unreachable: f64) -> Health {
@@ -246,11 +286,6 @@
                 digest.gone.push((task, entry, outcome));
             }
         }
-        if !self.is_empty() {
-            self.empty_since = None;
-        } else if self.empty_since.is_none() {
-            self.empty_since = Some(now);
-        }
         digest
     }
 
@@ -392,8 +427,10 @@
         TaskPhase::Exited => Some(match reported.cause {
             // Never forgotten before it is recorded: the entry stays, so no `forget` is sent.
             Some(Cause::Done) => {
-                entry.state = EntryState::Done;
-                digest.done.push((task.clone(), entry.attempt));
+                if entry.state != EntryState::Done {
+                    entry.state = EntryState::Done;
+                    digest.done.push((task.clone(), entry.attempt));
+                }
                 return None;
             }
             Some(Cause::Error) => Outcome::Failed,
