Rentals are planned for all that waits, in groups of equal machines

Now every waiting job counts up to its team's limit; equal machines are planned as one group, a request takes up to 50. Ruled out: the cloud's rate (no call refused), capacity. Test: all_that_waits_gets_machines_and_together_means_one_zone.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,6 +1,5 @@
 //! The fleet: what to rent for work that fits nowhere, and what to return.
 
-use crate::placement::TaskAsk;
 use crate::types::{Room, Span, Time, TypeName, Zone};
 use crate::wire::cloud::MachineType;
 use std::collections::BTreeMap;
@@ -13,13 +12,51 @@
     pub spot: bool,
 }
 
-/// A machine on its way, with the room that is not yet promised.
+/// Machines that are there or on their way, alike in kind and in the room not yet promised.
 #[derive(Debug, Clone)]
 pub struct Coming {
     pub offer: Offer,
     pub free: Room,
+    pub number: u32,
 }
 
+/// Tasks of one job that wait for machines.
+#[derive(Debug, Clone)]
+pub struct Need {
+    pub tasks: u32,
+    pub room: Room,
+    pub types: Option<Vec<TypeName>>,
+    pub spot: bool,
+    /// Zones it may use and how many more of its tasks each may take.
+    pub zones: Vec<(Zone, u32)>,
+    /// All tasks of it must be in one zone.
+    pub together: bool,
+}
+
+impl Need {
+    /// How many of its tasks may still go to machines of `offer`.
+    fn allowed(&self, offer: &Offer) -> u32 {
+        let kind =
+            (self.spot || !offer.spot) && self.types.as_ref().is_none_or(|t| t.contains(&offer.type_name));
+        let zone = self.zones.iter().find(|(z, _)| *z == offer.zone);
+        zone.filter(|_| kind).map_or(0, |(_, n)| *n)
+    }
+
+    /// Notes that `tasks` of it go to `zone`.
+    fn settle(&mut self, zone: &Zone, tasks: u32) {
+        self.tasks -= tasks;
+        if self.together {
+            self.zones.retain(|(z, _)| z == zone);
+        }
+        for (_, n) in self.zones.iter_mut().filter(|(z, _)| z == zone) {
+            *n = n.saturating_sub(tasks);
+        }
+    }
+}
+
+/// Machines planned for one need at a time, so that a large one is spread over zones.
+const AT_ONCE: u32 = 4;
+
 #[derive(Debug, Default)]
 pub struct Market {
     pub types: Vec<MachineType>,
@@ -47,11 +84,12 @@
         format!("pf-{fence}-{}", self.next_claim)
     }
 
-    /// What to rent so that `asks` fit, given the machines that are `coming` already. `per_zone`
-    /// counts the machines in each zone: of equal offers, the emptiest zone is taken.
+    /// What to rent so that `needs` fit, given the machines that are `coming` already. `per_zone`
+    /// counts the machines in each zone: of equal offers, the emptiest zone is taken. Works on
+    /// groups of equal machines, so that its effort doesn't grow with the number of tasks.
     pub fn plan(
         &mut self,
-        asks: &[TaskAsk],
+        needs: Vec<Need>,
         mut coming: Vec<Coming>,
         per_zone: &BTreeMap<Zone, u32>,
         now: Time,
@@ -59,65 +97,94 @@
         self.refused.retain(|_, until| *until > now);
         let mut per_zone = per_zone.clone();
         let mut out: BTreeMap<Offer, u32> = BTreeMap::new();
-        let mut left: u32 = asks.iter().map(|a| a.tasks.len() as u32).sum();
-        for ask in asks {
-            let mut zones = ask.zones.clone();
-            for _ in &ask.tasks {
-                let allowed = |o: &Offer, zones: &[(Zone, u32)]| {
-                    (ask.spot || !o.spot)
-                        && ask.types.as_ref().is_none_or(|t| t.contains(&o.type_name))
-                        && zones.iter().any(|(z, n)| *z == o.zone && *n > 0)
-                };
-                let found =
-                    coming.iter().position(|c| allowed(&c.offer, &zones) && ask.room.fits_in(&c.free));
-                let i = match found {
-                    Some(i) => i,
-                    None => {
-                        let best = self
-                            .types
-                            .iter()
-                            .filter(|t| ask.room.fits_in(&t.room()))
-                            .flat_map(|t| {
-                                t.zones.iter().flat_map(move |z| {
-                                    [false, true].map(|spot| Offer {
-                                        type_name: t.name.clone(),
-                                        zone: z.clone(),
-                                        spot,
-                                    })
-                                })
-                            })
-                            .filter(|o| allowed(o, &zones) && !self.refused.contains_key(o))
-                            .min_by(|a, b| {
-                                let cost = |o: &Offer| {
-                                    self.type_of(&o.type_name).map_or(f64::MAX, |t| {
-                                        let slots = t.room().count_of(&ask.room).min(left.max(1));
-                                        t.hourly(o.spot) / f64::from(slots.max(1))
-                                    })
-                                };
-                                let machines = |o: &Offer| per_zone.get(&o.zone).copied().unwrap_or(0);
-                                cost(a).total_cmp(&cost(b)).then(machines(a).cmp(&machines(b)))
-                            });
-                        let Some(offer) = best else { break };
-                        let Some(t) = self.type_of(&offer.type_name) else { break };
-                        coming.push(Coming { offer: offer.clone(), free: t.room() });
-                        *per_zone.entry(offer.zone.clone()).or_default() += 1;
-                        *out.entry(offer).or_default() += 1;
-                        coming.len() - 1
-                    }
-                };
-                coming[i].free = coming[i].free.minus(&ask.room);
-                let zone = coming[i].offer.zone.clone();
-                if ask.together {
-                    zones.retain(|(z, _)| *z == zone);
+        let mut left: u32 = needs.iter().map(|n| n.tasks).sum();
+        for mut need in needs {
+            left -= need.tasks;
+            if need.together {
+                // The zone that holds all of it, or else most, with what is coming.
+                let mut slots: BTreeMap<&Zone, u32> = BTreeMap::new();
+                for c in coming.iter().filter(|c| need.allowed(&c.offer) > 0) {
+                    *slots.entry(&c.offer.zone).or_default() += c.free.count_of(&need.room) * c.number;
                 }
-                for (_, n) in zones.iter_mut().filter(|(z, _)| *z == zone) {
-                    *n = n.saturating_sub(1);
+                if let Some((zone, n)) = slots.into_iter().max_by_key(|(_, n)| *n)
+                    && n >= need.tasks
+                {
+                    let zone = zone.clone();
+                    need.zones.retain(|(z, _)| *z == zone);
                 }
-                left = left.saturating_sub(1);
+            }
+            let mut i = 0;
+            while i < coming.len() && need.tasks > 0 {
+                let take = fill(&mut coming, i, &need);
+                if take > 0 {
+                    let zone = coming[i].offer.zone.clone();
+                    need.settle(&zone, take);
+                }
+                i += 1;
+            }
+            while need.tasks > 0 {
+                let wanted = need.tasks + left;
+                let Some((offer, room)) = self.best(&need, wanted, &per_zone) else { break };
+                let slots = room.count_of(&need.room).max(1);
+                let tasks = need.tasks.min(need.allowed(&offer));
+                let number = tasks.div_ceil(slots).min(AT_ONCE);
+                *per_zone.entry(offer.zone.clone()).or_default() += number;
+                *out.entry(offer.clone()).or_default() += number;
+                coming.push(Coming { offer: offer.clone(), free: room, number });
+                let last = coming.len() - 1;
+                let take = fill(&mut coming, last, &need);
+                if take == 0 {
+                    break;
+                }
+                need.settle(&offer.zone, take);
             }
         }
         out.into_iter().collect()
     }
+
+    /// The cheapest offer per task that isn't refused now, and what one machine of it holds.
+    fn best(&self, need: &Need, wanted: u32, per_zone: &BTreeMap<Zone, u32>) -> Option<(Offer, Room)> {
+        let mut best: Option<(f64, u32, Offer, Room)> = None;
+        for t in self.types.iter().filter(|t| need.room.fits_in(&t.room())) {
+            let slots = t.room().count_of(&need.room).min(wanted.max(1));
+            for zone in &t.zones {
+                for spot in [false, true] {
+                    let offer = Offer { type_name: t.name.clone(), zone: zone.clone(), spot };
+                    if need.allowed(&offer) == 0 || self.refused.contains_key(&offer) {
+                        continue;
+                    }
+                    let cost = t.hourly(spot) / f64::from(slots.max(1));
+                    let there = per_zone.get(zone).copied().unwrap_or(0);
+                    if best.as_ref().is_none_or(|(c, n, ..)| (cost, there) < (*c, *n)) {
+                        best = Some((cost, there, offer, t.room()));
+                    }
+                }
+            }
+        }
+        best.map(|(_, _, offer, room)| (offer, room))
+    }
+}
+
+/// Promises as much of group `i` to `need` as fits; gives the number of tasks. What a machine
+/// keeps free goes on as a group of its own.
+fn fill(coming: &mut Vec<Coming>, i: usize, need: &Need) -> u32 {
+    let group = &coming[i];
+    let slots = group.free.count_of(&need.room);
+    let take = need.tasks.min(need.allowed(&group.offer)).min(slots.saturating_mul(group.number));
+    if take == 0 {
+        return 0;
+    }
+    let (full, rest) = (take / slots, take % slots);
+    let mut parts = vec![(full, slots)];
+    if rest > 0 {
+        parts.push((1, rest));
+    }
+    for (number, tasks) in parts.into_iter().filter(|(n, _)| *n > 0) {
+        let free = coming[i].free.minus(&need.room.times(f64::from(tasks)));
+        coming[i].number -= number;
+        coming.push(Coming { offer: coming[i].offer.clone(), free, number });
+    }
+    take
 }
 
 /// How long a machine of this type may take to come up before it is given up.
@@ -135,7 +202,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::jobs::Shape;
 
     fn market() -> Market {
         let types = serde_json::from_str(
@@ -146,19 +212,14 @@
         Market::new(types)
     }
 
-    fn ask(tasks: u32, gpus: f64, spot: bool) -> TaskAsk {
-        TaskAsk {
-            job: "req-1".into(),
-            kind: "k".into(),
-            shape: Shape::Array,
-            tasks: (0..tasks).collect(),
+    fn need(tasks: u32, gpus: f64, spot: bool) -> Need {
+        Need {
+            tasks,
             room: Room { cpus: 1.0, gpus, memory_gb: 1.0 },
             types: None,
             spot,
-            zones: vec![("a".into(), 99), ("b".into(), 99)],
+            zones: vec![("a".into(), 99_999), ("b".into(), 99_999)],
             together: false,
-            image: "i".into(),
-            image_gb: 1.0,
         }
     }
 
@@ -166,15 +227,37 @@
     fn the_cheapest_adequate_offer_is_rented_and_what_is_coming_counts() {
         let mut m = market();
         let now = Time::from_ms(0);
-        let plan = |m: &mut Market, a: TaskAsk, c: Vec<Coming>| m.plan(&[a], c, &BTreeMap::new(), now);
+        let plan = |m: &mut Market, n: Need, c: Vec<Coming>| m.plan(vec![n], c, &BTreeMap::new(), now);
         let offer = |t: &str, z: &str, spot| Offer { type_name: t.into(), zone: z.into(), spot };
-        assert_eq!(plan(&mut m, ask(1, 1.0, false), vec![]), [(offer("small", "a", false), 1)]);
-        assert_eq!(plan(&mut m, ask(8, 1.0, false), vec![]), [(offer("big", "a", false), 1)]);
-        assert_eq!(plan(&mut m, ask(1, 8.0, true), vec![]), [(offer("big", "a", true), 1)]);
+        assert_eq!(plan(&mut m, need(1, 1.0, false), vec![]), [(offer("small", "a", false), 1)]);
+        assert_eq!(plan(&mut m, need(8, 1.0, false), vec![]), [(offer("big", "a", false), 1)]);
+        assert_eq!(plan(&mut m, need(1, 8.0, true), vec![]), [(offer("big", "a", true), 1)]);
         let room = Room { cpus: 8.0, gpus: 2.0, memory_gb: 8.0 };
-        let coming = vec![Coming { offer: offer("small", "b", false), free: room }];
-        assert_eq!(plan(&mut m, ask(2, 1.0, false), coming), []);
+        let coming = vec![Coming { offer: offer("small", "b", false), free: room, number: 1 }];
+        assert_eq!(plan(&mut m, need(2, 1.0, false), coming), []);
         m.refuse(offer("small", "a", false), Time::from_ms(9));
-        assert_eq!(plan(&mut m, ask(1, 1.0, false), vec![]), [(offer("small", "b", false), 1)]);
+        assert_eq!(plan(&mut m, need(1, 1.0, false), vec![]), [(offer("small", "b", false), 1)]);
+    }
+
+    /// Only the first few hundred waiting tasks were looked at: while their machines booted, no
+    /// more were rented for those behind them.
+    #[test]
+    fn all_that_waits_gets_machines_and_together_means_one_zone() {
+        let mut m = market();
+        let now = Time::from_ms(0);
+        let count = |plan: Vec<(Offer, u32)>| plan.iter().map(|(_, n)| *n).sum::<u32>();
+        let mut many = need(8000, 1.0, true);
+        many.types = Some(vec!["big".into()]);
+        assert_eq!(count(m.plan(vec![many], vec![], &BTreeMap::new(), now)), 1000);
+        let mut gang = need(2, 2.0, false);
+        gang.together = true;
+        let room = Room { cpus: 8.0, gpus: 2.0, memory_gb: 8.0 };
+        let small = |z: &str| Offer { type_name: "small".into(), zone: z.into(), spot: false };
+        let one = |z: &str, number| Coming { offer: small(z), free: room, number };
+        let plan = m.plan(vec![gang.clone()], vec![one("a", 1), one("b", 2)], &BTreeMap::new(), now);
+        assert_eq!(plan, [], "zone b holds it");
+        gang.types = Some(vec!["small".into()]);
+        let plan = m.plan(vec![gang], vec![one("b", 1)], &BTreeMap::new(), now);
+        assert_eq!(plan, [(small("b"), 1)]);
     }
 }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -109,6 +109,15 @@
     used
 }
 
+/// How many tasks of `room` a team at `used` may still take.
+pub fn fitting(team: &crate::settings::Team, used: &Room, room: &Room) -> u32 {
+    let of = |max: Option<f64>, used: f64, each: f64| match max {
+        Some(max) if each > 0.0 => ((max - used + 1e-6) / each).max(0.0) as u32,
+        _ => u32::MAX,
+    };
+    of(team.max_gpus, used.gpus, room.gpus).min(of(team.max_cpus, used.cpus, room.cpus))
+}
+
 /// Whether a team at `used` may take `more`.
 pub fn within_limit(team: &crate::settings::Team, used: &Room, more: &Room) -> bool {
     let ok = |max: Option<f64>, used: f64, more: f64| max.is_none_or(|m| used + more <= m + 1e-6);
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -7,7 +7,7 @@
 use super::Effect;
 use super::core::{COUNTS_PREFIX, Core, MasterOp, PEER_SILENCE, Pending, factors};
 use crate::blocks::{Blocks, PeerMessage};
-use crate::fleet::{self, Coming, Market, Offer};
+use crate::fleet::{self, Coming, Market, Need, Offer};
 use crate::gangs::{self, Attempts};
 use crate::jobs::{self, JobSpec, Priority, Record, Run, Shape};
 use crate::leader;
@@ -47,6 +47,8 @@
 /// each goes through the whole fleet.
 const PREEMPT_AGAIN: Span = Span::ms(1000);
 const PREEMPTIONS_AT_ONCE: usize = 2;
+/// Waiting tasks that rentals are planned for at a time.
+const NEEDS_AT_MOST: u32 = 20_000;
 /// While most machines are silent, none is given up for this many report intervals.
 const SUSPECT_REPORTS: f64 = 4.0;
 /// After this long a controller that let a round time out is offered work again.
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -41,13 +41,13 @@
     }
 
     /// What waits, most urgent first, as far as teams' limits allow.
-    pub(super) fn waiting_asks(&mut self, most: usize, now: Time, retry: bool) -> Vec<TaskAsk> {
+    pub(super) fn waiting_asks(&mut self, most: usize, now: Time) -> Vec<TaskAsk> {
         let version = self.room_version;
         let mut ids: Vec<JobId> = self
             .runs
             .iter()
             .filter(|(_, r)| r.offered == 0 && !r.finishing && r.not_before <= now)
-            .filter(|(_, r)| retry || r.tried < version)
+            .filter(|(_, r)| r.tried < version)
             .filter(|(_, r)| r.waiting_count() > 0)
             .map(|(id, _)| id.clone())
             .collect();
@@ -79,11 +79,7 @@
             let mut tasks = run.waiting(if gang { usize::MAX } else { left });
             let Some(team) = self.settings.teams.get(&spec.team) else { continue };
             let sum = used.entry(spec.team.clone()).or_default();
-            let fitting = tasks
-                .iter()
-                .enumerate()
-                .take_while(|(i, _)| ledger::within_limit(team, sum, &spec.room.times((i + 1) as f64)))
-                .count();
+            let fitting = (ledger::fitting(team, sum, &spec.room) as usize).min(tasks.len());
             if fitting == 0 || (gang && fitting < tasks.len()) {
                 run.why = "its team is at its limit";
                 run.tried = version;
@@ -115,7 +111,7 @@
             let lease = Span::secs(self.settings.operator.block_lease_s);
             self.blocks.cut(&up, &work, lease, now);
         }
-        let asks = self.waiting_asks(self.settings.operator.round_tasks, now, false);
+        let asks = self.waiting_asks(self.settings.operator.round_tasks, now);
         if asks.is_empty() {
             return Vec::new();
         }
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -195,6 +195,40 @@
         }
     }
 
+    /// All that waits, most urgent first, as far as teams' limits allow.
+    fn needs(&mut self, now: Time) -> Vec<Need> {
+        let guaranteed = self.guaranteed();
+        let mut ids: Vec<(&JobId, &Run)> = self
+            .runs
+            .iter()
+            .filter(|(_, r)| r.waiting_count() > 0 && !r.finishing && r.not_before <= now)
+            .collect();
+        ids.sort_by_cached_key(|(id, r)| self.order_key(id, r, &guaranteed));
+        let mut used = self.used.clone();
+        let mut left = NEEDS_AT_MOST;
+        let mut needs = Vec::new();
+        for (id, run) in ids {
+            let spec = &run.job.spec;
+            let Some(team) = self.settings.teams.get(&spec.team) else { continue };
+            let sum = used.entry(spec.team.clone()).or_default();
+            let fitting = ledger::fitting(team, sum, &spec.room).min(run.waiting_count()).min(left);
+            if fitting == 0 || (run.is_gang() && fitting < spec.tasks) {
+                continue;
+            }
+            *sum = sum.plus(&spec.room.times(f64::from(fitting)));
+            left -= fitting;
+            needs.push(Need {
+                tasks: fitting,
+                room: spec.room,
+                types: spec.types.clone(),
+                spot: spec.spot,
+                zones: self.zone_room(id, run),
+                together: spec.together,
+            });
+        }
+        needs
+    }
+
     pub(super) fn rentals(&mut self, now: Time) -> Vec<(CloudRequest, CloudOp)> {
         if now < self.rent_not_before
             || now.since(self.since) < Span::ms(2000)
@@ -202,39 +236,39 @@
         {
             return Vec::new();
         }
-        let asks = self.waiting_asks(self.settings.operator.round_tasks * 4, now, true);
-        if asks.is_empty() {
+        let needs = self.needs(now);
+        if needs.is_empty() {
             return Vec::new();
         }
-        let mut coming: Vec<Coming> = self
-            .machines
-            .values()
-            .filter(|m| m.standing == Standing::Booting)
-            .map(|m| Coming {
-                offer: Offer { type_name: m.type_name.clone(), zone: m.zone.clone(), spot: m.spot },
-                free: m.free(),
-            })
-            .collect();
+        let least = needs.iter().map(|n| n.room.gpus).fold(f64::MAX, f64::min);
+        let mut groups: BTreeMap<(Offer, [u64; 3]), Coming> = BTreeMap::new();
+        let mut add = |offer: Offer, free: Room, number: u32| {
+            let key = [free.cpus, free.gpus, free.memory_gb].map(|x| (x.max(0.0) * 1000.0) as u64);
+            let new = Coming { offer: offer.clone(), free, number: 0 };
+            groups.entry((offer, key)).or_insert(new).number += number;
+        };
+        let mut per_zone: BTreeMap<Zone, u32> = BTreeMap::new();
+        for m in self.machines.values() {
+            *per_zone.entry(m.zone.clone()).or_default() += 1;
+            // Room that is free now is about to be used by what waits.
+            if m.free().gpus + 1e-6 >= least && (m.standing == Standing::Booting || m.open_for_tasks(now)) {
+                let offer = Offer { type_name: m.type_name.clone(), zone: m.zone.clone(), spot: m.spot };
+                add(offer, m.free(), 1);
+            }
+        }
         for op in self.cloud_ops.values() {
             if let CloudOp::Rent { offer, number } = op
                 && let Some(t) = self.market.type_of(&offer.type_name)
             {
-                let one = Coming { offer: offer.clone(), free: t.room() };
-                coming.extend(std::iter::repeat_n(one, *number as usize));
+                add(offer.clone(), t.room(), *number);
             }
         }
-        let mut per_zone: BTreeMap<Zone, u32> = BTreeMap::new();
-        for m in self.machines.values() {
-            *per_zone.entry(m.zone.clone()).or_default() += 1;
-        }
-        // Room that is free now is about to be used by what waits.
-        coming.extend(self.machines.values().filter(|m| m.open_for_tasks(now)).map(|m| Coming {
-            offer: Offer { type_name: m.type_name.clone(), zone: m.zone.clone(), spot: m.spot },
-            free: m.free(),
-        }));
+        let mut coming: Vec<Coming> = groups.into_values().collect();
+        // Small gaps first: whole machines stay for those that need them whole.
+        coming.sort_by(|a, b| a.free.gpus.total_cmp(&b.free.gpus));
         let most = self.settings.operator.rent_at_most;
         let mut out = Vec::new();
-        for (offer, number) in self.market.plan(&asks, coming, &per_zone, now) {
+        for (offer, number) in self.market.plan(needs, coming, &per_zone, now) {
             if !self.cloud_calls.take(1.0, now) {
                 break;
             }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -199,7 +199,7 @@
             idle_return_s: 45.0,
             boot_patience: 4.0,
             refusal_pause_s: 8.0,
-            rent_at_most: 10,
+            rent_at_most: 50,
             round_tasks: 64,
             max_waiting_requests: 512,
             request_patience_ms: 1500,
