Images are known by cache size and over take-overs; writes are fewer and ordered

Now images are kept by size and in the machine's record, empty machines have no record, progress and removals go along while the budget is ample, and users may burst. Ruled out: the service's answers.

--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -39,6 +39,7 @@
     urgent: VecDeque<String>,
     dirty: VecDeque<String>,
     in_flight: Option<Vec<(String, u64)>>,
+    batches: u64,
     next_version: u64,
     max_ops: usize,
 }
@@ -55,6 +56,7 @@
             urgent: VecDeque::new(),
             dirty: VecDeque::new(),
             in_flight: None,
+            batches: 0,
             next_version: 1,
             max_ops: max_ops.max(1),
         }
@@ -66,6 +68,11 @@
         doc.stamp = doc.stamp.max(stamp);
     }
 
+    /// Whether `key` is stored, or waits to be.
+    pub fn holds(&self, key: &str) -> bool {
+        self.docs.contains_key(key)
+    }
+
     pub fn stamp(&self, key: &str) -> Stamp {
         self.docs.get(key).map(|d| d.stamp).unwrap_or_default()
     }
@@ -100,11 +107,25 @@
         self.urgent.len() + self.dirty.len()
     }
 
-    /// The next transaction, if there is something to write and none is in flight.
-    pub fn next_batch(&mut self) -> Option<Batch> {
+    /// Whether something waits that `next_batch` would take.
+    pub fn wants(&self, ample: bool) -> bool {
+        self.idle()
+            && (!self.urgent.is_empty() || (ample || self.turn_of_the_rest()) && !self.dirty.is_empty())
+    }
+
+    /// However much is urgent, what isn't gets a part of every fourth transaction.
+    fn turn_of_the_rest(&self) -> bool {
+        self.batches % 4 == 3
+    }
+
+    /// The next transaction, if there is something to write and none is in flight. What isn't
+    /// urgent goes along while the budget is `ample`.
+    pub fn next_batch(&mut self, ample: bool) -> Option<Batch> {
         if self.in_flight.is_some() {
             return None;
         }
+        let rest = ample || self.turn_of_the_rest();
+        self.batches += 1;
         let mut batch = Batch {
             conditions: vec![(self.leader_key.clone(), Stamp(self.fence.0))],
             changes: Vec::new(),
@@ -112,7 +133,11 @@
         };
         let mut bytes = 0;
         while batch.changes.len() < self.max_ops {
-            let Some(key) = self.urgent.pop_front().or_else(|| self.dirty.pop_front()) else { break };
+            let next = match self.urgent.pop_front() {
+                None if rest => self.dirty.pop_front(),
+                urgent => urgent,
+            };
+            let Some(key) = next else { break };
             let Some(doc) = self.docs.get(&key) else { continue };
             if doc.wanted <= doc.saved || batch.versions.iter().any(|(k, _)| *k == key) {
                 continue;
@@ -174,27 +199,27 @@
         let mut j = Journal::new("leader", Fence(9), 4);
         j.loaded("m/a", Stamp(3));
         let v1 = j.put("m/a", Some("1".into()), false);
-        let first = j.next_batch().expect("work");
+        let first = j.next_batch(true).expect("work");
         assert_eq!(first.conditions, [("leader".to_string(), Stamp(9)), ("m/a".to_string(), Stamp(3))]);
-        assert!(j.next_batch().is_none(), "one in flight at a time");
+        assert!(j.next_batch(true).is_none(), "one in flight at a time");
         let v2 = j.put("m/a", Some("2".into()), false);
         j.failed();
-        let second = j.next_batch().expect("work");
+        let second = j.next_batch(true).expect("work");
         assert_eq!(second.conditions, first.conditions, "so that only one of them can be applied");
         assert_eq!(j.committed(12).keys, [("m/a".to_string(), v2)]);
-        assert!(v1 < v2 && j.next_batch().is_none());
+        assert!(v1 < v2 && j.next_batch(true).is_none());
         j.put("m/a", None, false);
-        assert_eq!(j.next_batch().expect("work").conditions[1].1, Stamp(12));
+        assert_eq!(j.next_batch(true).expect("work").conditions[1].1, Stamp(12));
     }
 
     #[test]
     fn a_change_made_while_its_key_is_in_flight_is_written_too() {
         let mut j = Journal::new("leader", Fence(9), 4);
         j.put("m/a", Some("1".into()), false);
-        j.next_batch().expect("work");
+        j.next_batch(true).expect("work");
         let v2 = j.put("m/a", Some("2".into()), false);
         j.committed(10);
-        let batch = j.next_batch().expect("the second change");
+        let batch = j.next_batch(true).expect("the second change");
         assert_eq!(batch.conditions[1].1, Stamp(10));
         assert_eq!(j.committed(11).keys, [("m/a".to_string(), v2)]);
     }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -7,7 +7,7 @@
 
 pub use journal::{Batch, Journal, Settled};
 
-use crate::types::{Attempt, MachineId, Room, Session, TaskId, TeamName, Time, TypeName, Zone};
+use crate::types::{Attempt, Image, MachineId, Room, Session, TaskId, TeamName, Time, TypeName, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -89,6 +89,10 @@
     pub session: Session,
     #[serde(rename = "t", default)]
     pub entries: Vec<(TaskId, Attempt, TeamName, Room)>,
+    /// Images there and their sizes: a new leader that didn't know them would have them fetched
+    /// anew on other machines.
+    #[serde(rename = "i", default)]
+    pub images: Vec<(Image, f64)>,
 }
 
 pub fn key(id: &MachineId) -> String {
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -17,8 +17,8 @@
 use crate::settings::Settings;
 use crate::store::Budget;
 use crate::types::{
-    Attempt, Fence, JobId, MachineId, NodeName, OpId, Room, Session, Span, Stamp, TaskId, TeamName, Time,
-    Zone,
+    Attempt, Fence, Image, JobId, MachineId, NodeName, OpId, Room, Session, Span, Stamp, TaskId, TeamName,
+    Time, Zone,
 };
 use crate::wire::cloud::{CloudReply, CloudRequest, ListedMachine, MachinePhase, MachineType};
 use crate::wire::state::{Change, Pair, StateReply, StateRequest};
@@ -214,7 +214,9 @@
             .collect()
     }
 
-    fn view(&self, m: &Machine, health: Health, now: Time) -> MachineView {
+    /// A machine as controllers see it for `asks`; of its images they need to know no others.
+    fn view(&self, m: &Machine, health: Health, asks: &[TaskAsk], now: Time) -> MachineView {
+        let asked = |image: &Image| asks.iter().any(|a| a.image == *image);
         MachineView {
             id: m.id.clone(),
             type_name: m.type_name.clone(),
@@ -224,7 +226,7 @@
             total: m.total,
             empty: m.is_empty(),
             health,
-            images: m.images.clone(),
+            images: m.images.iter().map(|(i, _)| i).filter(|i| asked(i)).cloned().collect(),
             fetch_gb_per_s: self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s),
             held_for: m.held_for(now).cloned(),
         }
@@ -261,7 +263,9 @@
 impl Master {
     fn new(settings: Arc<Settings>, fence: Fence, now: Time, types: Vec<MachineType>) -> Self {
         let o = &settings.operator;
-        let own_share = 1.0 - o.user_write_share;
+        // Users seldom use theirs, so the two overlap a little; what is over the limit is refused by
+        // the service and comes again.
+        let own_share = 1.0 - o.user_write_share / 2.0;
         let market = Market::new(types);
         Self {
             fence,
@@ -823,14 +827,13 @@
         master.write_records();
         if master.correcting == 0 && now >= master.commit_not_before && master.journal.idle() {
             let most = master.settings.state.txn_ops as f64;
-            if master.journal.backlog() > 0
+            let ample = master.writes.ample(now);
+            if master.journal.wants(ample)
                 && master.writes.take(most.min(4.0), now)
-                && let Some(batch) = master.journal.next_batch()
+                && let Some(batch) = master.journal.next_batch(ample)
             {
                 let extra = batch.changes.len() as f64 - 4.0;
-                if extra > 0.0 {
-                    master.writes.take(extra, now);
-                }
+                master.writes.settle(extra);
                 let fence = master.fence;
                 let request = StateRequest::Commit { conditions: batch.conditions, changes: batch.changes };
                 self.ask_state(request, Pending::Master(fence, MasterOp::Commit));
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -171,7 +171,7 @@
             }
             let health = self.health(m, now);
             if health != Health::Unreachable {
-                views.push(self.view(m, health, now));
+                views.push(self.view(m, health, asks, now));
             }
         }
         views
@@ -384,7 +384,7 @@
                 let loss_s = if o.checkpoint.0 > 0 { o.save.as_secs() } else { ran } + 1.0;
                 victims.push(Victim { task: task.clone(), room: entry.room, loss_s });
             }
-            let fetch_s = match m.images.contains(&ask.image) || fetch_rate <= 0.0 {
+            let fetch_s = match m.has_image(&ask.image) || fetch_rate <= 0.0 {
                 true => 0.0,
                 false => ask.image_gb / fetch_rate,
             };
--- a/src/node/master/stock.rs
+++ b/src/node/master/stock.rs
@@ -21,6 +21,9 @@
             m.push_session = record.session;
             self.to_push.insert(id);
         }
+        if m.images.is_empty() {
+            m.images = record.images;
+        }
         for (task, attempt, team, room) in record.entries {
             m.entries.entry(task).or_insert(Entry {
                 attempt,
@@ -172,9 +175,10 @@
         for task in digest.began {
             self.touch(&task.job);
             let Some(run) = self.runs.get(&task.job) else { continue };
-            let image = run.job.spec.image.clone();
+            let spec = &run.job.spec;
             if let Some(m) = self.machines.get_mut(machine) {
-                m.remember_image(&image);
+                let cache_gb = self.market.type_of(&m.type_name).map_or(0.0, |t| t.cache_gb);
+                m.remember_image(&spec.image, spec.image_gb, cache_gb);
             }
         }
         for (task, _) in digest.done {
@@ -222,7 +226,8 @@
             let chunk = task.index / jobs::CHUNK;
             let key = format!("{PROGRESS_PREFIX}{}/{chunk}", task.job);
             let value = self.runs.get(&task.job).map(|r| r.done().chunk_value(chunk));
-            let version = self.journal.put(&key, value, true);
+            // Not urgent: until it is written the worker goes on reporting the task as done.
+            let version = self.journal.put(&key, value, false);
             (key, version)
         };
         let recorded = Recorded { version, machine: machine.clone(), task: task.clone() };
@@ -338,6 +343,7 @@
                 "red".into(),
                 Room { cpus: 1.0, gpus: 1.0, memory_gb: 1.0 },
             )],
+            images: vec![("i".into(), 5.0)],
         }
     }
 
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -144,7 +144,9 @@
             self.task_gone(id, &task, &entry, Outcome::Vanished, now);
         }
         self.dirty.remove(id);
-        self.journal.put(&ledger::key(id), None, false);
+        if self.journal.holds(&ledger::key(id)) {
+            self.journal.put(&ledger::key(id), None, false);
+        }
     }
 
     pub(super) fn rented(&mut self, id: MachineId, offer: &Offer, now: Time) {
@@ -181,6 +183,10 @@
     pub(super) fn write_records(&mut self) {
         for id in std::mem::take(&mut self.dirty) {
             let Some(m) = self.machines.get_mut(&id) else { continue };
+            // A machine without tasks needs no record: its reports and the cloud's list show it.
+            if m.entries.is_empty() && !self.journal.holds(&ledger::key(&id)) {
+                continue;
+            }
             let value = serde_json::to_string(&m.record()).unwrap_or_default();
             let planned: Vec<TaskId> = m
                 .entries
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -175,7 +175,7 @@
     pub max_waiting_requests: usize,
     /// How long a user's request may wait for the state service before it is told to come back.
     pub request_patience_ms: u64,
-    /// Share of the state service's change budget that submissions and withdrawals of one node use.
+    /// Share of the state service's change budget that users' requests may take, over all nodes.
     pub user_write_share: f64,
     /// How often the cloud's machine list is read.
     pub list_every_s: f64,
@@ -203,7 +203,7 @@
             round_tasks: 64,
             max_waiting_requests: 512,
             request_patience_ms: 1500,
-            user_write_share: 0.2,
+            user_write_share: 0.5,
             list_every_s: 5.0,
         }
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -22,6 +22,17 @@
         self.at = now;
     }
 
+    /// Whether more than half of a burst is left: then less urgent work may go too.
+    pub fn ample(&mut self, now: Time) -> bool {
+        self.refill(now);
+        self.tokens > self.burst / 2.0
+    }
+
+    /// Corrects the last `take` by what it turned out to need.
+    pub fn settle(&mut self, more: f64) {
+        self.tokens = (self.tokens - more).min(self.burst);
+    }
+
     /// Takes `n` tokens if there are as many (or the bucket is full, for an `n` above it).
     pub fn take(&mut self, n: f64, now: Time) -> bool {
         self.refill(now);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -67,8 +67,8 @@
     tally: Vec<(TeamName, Room)>,
     /// Tasks reported that the ledger doesn't know: stopped, and until then nothing starts here.
     pub strays: BTreeSet<TaskId>,
-    /// Images a task got here, in order of last use.
-    pub images: Vec<Image>,
+    /// Images a task got here and their sizes, in order of last use.
+    pub images: Vec<(Image, f64)>,
     pub empty_since: Option<Time>,
     pub not_before: Time,
     /// The session that a direct command should name, as far as an earlier leader knew.
@@ -97,7 +97,8 @@
     pub stale: bool,
 }
 
-const IMAGES_REMEMBERED: usize = 8;
+/// Bounds a machine's record, however small its images are.
+const IMAGES_REMEMBERED: usize = 64;
 
 impl Machine {
     pub fn new(id: MachineId, type_name: TypeName, zone: Zone, spot: bool, total: Room, now: Time) -> Self {
@@ -143,6 +144,7 @@
                 .iter()
                 .map(|(t, e)| (t.clone(), e.attempt, e.team.clone(), e.room))
                 .collect(),
+            images: self.images.clone(),
         }
     }
 
@@ -210,14 +212,21 @@
         self.held.as_ref().filter(|(_, until)| now < *until).map(|(job, _)| job)
     }
 
-    pub fn remember_image(&mut self, image: &Image) {
-        self.images.retain(|i| i != image);
-        self.images.push(image.clone());
-        if self.images.len() > IMAGES_REMEMBERED {
-            self.images.remove(0);
+    /// Notes an image that a task has got here. The machine keeps the most recently used ones, as
+    /// many as `cache_gb` holds.
+    pub fn remember_image(&mut self, image: &Image, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| i != image);
+        self.images.push((image.clone(), gb));
+        let mut sum: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while self.images.len() > 1 && (sum > cache_gb || self.images.len() > IMAGES_REMEMBERED) {
+            sum -= self.images.remove(0).1;
         }
     }
 
+    pub fn has_image(&self, image: &Image) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+
     /// Asks a task to stop. True if it is off the ledger at once, since no order can have
     /// reached the worker.
     pub fn stop(&mut self, task: &TaskId, grace_s: f64, now: Time) -> Option<Entry> {
