Room is made for all tasks of a job at once, gangs too, but not where others wait as well

Tests: a_gang_counts_room_that_is_there_already, the_least_loss_is_chosen_and_nobody_leaves_in_vain.

--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -68,6 +68,8 @@
     pub tried: u64,
     pub not_before: Time,
     pub attempt: Option<Attempt>,
+    /// Since when this leader knows it.
+    pub seen: Time,
     /// Failures in a row that speak of the job as much as of its machines.
     pub errors: u32,
     /// Others have been stopped for it, and should be gone by then.
@@ -81,7 +83,7 @@
 }
 
 impl Run {
-    pub fn new(job: Arc<OpenJob>) -> Self {
+    pub fn new(job: Arc<OpenJob>, now: Time) -> Self {
         Self {
             home: job.home.clone(),
             open: job.spec.tasks,
@@ -92,6 +94,7 @@
             tried: 0,
             not_before: Time::default(),
             attempt: None,
+            seen: now,
             errors: 0,
             making_room_until: None,
             why: "new",
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -46,6 +46,12 @@
 /// How long a search for room that found none holds good, and searches in one look at what waits:
 /// each goes through the whole fleet.
 const PREEMPT_AGAIN: Span = Span::ms(1000);
+/// Part of the time within which work is to start that it waits before others are stopped for it.
+const PREEMPT_AFTER: f64 = 0.6;
+/// Waiting less urgent work, as a part of what is placed, from which on no gang stops more of it.
+const CROWDED: f64 = 0.1;
+/// What a stopped task loses besides its work, in seconds: a new place, and often a new fetch.
+const RESTART_S: f64 = 15.0;
 const PREEMPTIONS_AT_ONCE: usize = 2;
 /// Waiting tasks that rentals are planned for at a time.
 const NEEDS_AT_MOST: u32 = 20_000;
@@ -457,7 +463,7 @@
                 Some(job) => {
                     master.journal.loaded(&jobs::key(&id), known.stamp);
                     master.guaranteed = None;
-                    master.runs.entry(id).or_insert_with(|| Run::new(job.clone()));
+                    master.runs.entry(id).or_insert_with(|| Run::new(job.clone(), now));
                 }
                 None => master.job_over(&id, now),
             }
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -309,60 +309,102 @@
     /// Whether the work fits its controller's block, if need be after moving machines there that
     /// fit it from blocks without a round under way. If not, it waits.
     fn make_fit(&mut self, node: &NodeName, ask: &TaskAsk, views: &[MachineView]) -> bool {
-        // A gang needs room for all its tasks at once, with `together` in one zone.
+        // A gang needs room for all its tasks at once.
         let gang = ask.shape == Shape::Gang;
         let need = if gang { ask.tasks.len() as u32 } else { 1 };
         let (mut own, mut all): (BTreeMap<&Zone, u32>, BTreeMap<&Zone, u32>) = Default::default();
         let mut found = Vec::new();
         for v in views.iter().filter(|v| ask.allows(v)) {
-            let zone = if gang && ask.together { Some(&v.zone) } else { None };
             let slots = v.free.count_of(&ask.room);
-            let zone = zone.unwrap_or(&views[0].zone);
             match self.blocks.owner(&v.id) {
-                Some(owner) if owner == node => *own.entry(zone).or_default() += slots,
+                Some(owner) if owner == node => *own.entry(&v.zone).or_default() += slots,
                 Some(owner) if self.offers.contains_key(owner) => continue,
-                _ => found.push((zone, &v.id)),
+                _ => found.push((&v.zone, &v.id)),
             }
-            *all.entry(zone).or_default() += slots;
+            *all.entry(&v.zone).or_default() += slots;
         }
-        if own.values().any(|n| *n >= need) {
+        // Room counts as far as the zone may take tasks of the job, with `together` in one zone.
+        let cap = |zone: &Zone| ask.zones.iter().find(|(z, _)| z == zone).map_or(0, |(_, n)| *n);
+        let room = |slots: &BTreeMap<&Zone, u32>| -> u32 {
+            let in_zone = slots.iter().map(|(z, n)| (*n).min(cap(z)));
+            if gang && ask.together { in_zone.max().unwrap_or(0) } else { in_zone.sum() }
+        };
+        if room(&own) >= need {
             return true;
         }
         let version = self.room_version;
         let Some(run) = self.runs.get_mut(&ask.job) else { return false };
-        let Some((zone, _)) = all.iter().filter(|(_, n)| **n >= need).max_by_key(|(_, n)| **n) else {
+        if room(&all) < need {
             run.tried = version;
             run.why = "no machine has room for it";
             return false;
-        };
+        }
         run.why = "machines move to its controller's block";
+        let best = all.iter().max_by_key(|(_, n)| **n).map(|(z, _)| *z);
         let wanted = if gang { usize::MAX } else { ask.tasks.len() };
-        let moves = found.iter().filter(|(z, _)| z == zone).map(|(_, id)| (*id).clone()).take(wanted);
+        let fits = |zone: &&Zone| !(gang && ask.together) || best == Some(zone);
+        let moves = found.iter().filter(|(z, _)| fits(z)).map(|(_, id)| (*id).clone()).take(wanted);
         self.blocks.give(node, moves);
         true
     }
 
-    /// Makes room for one task of a job that fits nowhere, if its rank allows that. Tells whether
-    /// the fleet was searched for it.
+    /// Makes room for a job that fits nowhere, if its rank allows that: all its tasks' if it is a
+    /// gang. Tells whether the fleet was searched for it.
     pub(super) fn preempt(&mut self, ask: &TaskAsk, now: Time) -> bool {
+        let guaranteed = self.guaranteed();
         let Some(run) = self.runs.get_mut(&ask.job) else { return false };
         let spec = run.job.spec.clone();
-        if run.making_room_until.is_some_and(|until| now < until)
-            || (ask.shape == Shape::Gang && ask.tasks.len() > 1)
-        {
+        if run.making_room_until.is_some_and(|until| now < until) {
             return false;
         }
-        run.making_room_until = Some(now + PREEMPT_AGAIN);
-        let guaranteed = self.guaranteed();
         let mine = guaranteed.contains(&ask.job);
+        // Room that comes free by itself loses nothing. Replicas don't wait for it.
+        let patience = self.settings.wait_objective(&spec.kind, mine).map_or(0.0, |s| s * PREEMPT_AFTER);
+        if spec.shape != Shape::Service && now.since(run.seen) < Span::secs(patience) {
+            return false;
+        }
+        run.making_room_until = Some(now + PREEMPT_AGAIN);
+        // Less urgent work makes way for all tasks at once. Work beyond its team's guarantee makes
+        // way for one at a time, and not whole gangs: with many teams near their guarantees they
+        // would otherwise stop one another in turn.
+        let one = ask.tasks.len() == 1 || ask.shape != Shape::Gang;
+        // A gang of several would put off more work than it is: while less urgent work waits for room
+        // itself, that only passes the wait on.
+        let several = ask.shape == Shape::Gang && ask.tasks.len() > 1;
+        if several && self.crowded(spec.priority) {
+            return true;
+        }
+        if !self.clear_for(ask, &spec, None, now) && mine && one {
+            self.clear_for(ask, &spec, Some(&guaranteed), now);
+        }
+        true
+    }
+
+    /// Whether so much work below `priority` waits that what was stopped would wait long.
+    fn crowded(&self, priority: Priority) -> bool {
+        let lower = self.runs.values().filter(|r| r.job.spec.priority < priority);
+        let (waiting, placed) =
+            lower.fold((0, 0), |(w, p), r| (w + r.waiting_count() as usize, p + r.placed().len()));
+        waiting as f64 > placed as f64 * CROWDED
+    }
+
+    /// Stops what loses least so that `ask` fits; tells whether anything is. With `guaranteed`,
+    /// victims are other teams' work beyond their guarantee, else less urgent work.
+    fn clear_for(
+        &mut self,
+        ask: &TaskAsk,
+        spec: &JobSpec,
+        guaranteed: Option<&BTreeSet<JobId>>,
+        now: Time,
+    ) -> bool {
         let mut candidates = Vec::new();
         for m in self.machines.values() {
-            let fetch_rate = self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s);
             let may = m.open_for_tasks(now)
                 && m.held_for(now).is_none_or(|j| *j == ask.job)
                 && self.health(m, now) == Health::Healthy
                 && ask.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
                 && (ask.spot || !m.spot)
+                && ask.room.fits_in(&m.total)
                 && ask.zones.iter().any(|(z, n)| *z == m.zone && *n > 0);
             if !may {
                 continue;
@@ -375,40 +417,64 @@
                 }
                 let Some(other) = self.runs.get(&task.job) else { continue };
                 let o = &other.job.spec;
-                let lower = o.priority < spec.priority;
-                let beyond = mine && o.team != spec.team && !guaranteed.contains(&task.job);
-                if o.shape == Shape::Service || !(lower || beyond) {
+                let may_stop = match guaranteed {
+                    None => o.priority < spec.priority,
+                    Some(kept) => {
+                        o.team != spec.team && !kept.contains(&task.job) && !(other.is_gang() && o.tasks > 1)
+                    }
+                };
+                if o.shape == Shape::Service || !may_stop {
                     continue;
                 }
                 let ran = entry.running_since.map_or(0.0, |at| now.since(at).as_secs());
-                let loss_s = if o.checkpoint.0 > 0 { o.save.as_secs() } else { ran } + 1.0;
+                // Work since the last checkpoint, and a new start.
+                let again = if o.checkpoint.0 > 0 { o.save.as_secs() } else { ran };
+                let loss_s = again + RESTART_S;
+                // With one task of a gang all of it stops.
+                let loss_s = if other.is_gang() { loss_s * f64::from(o.tasks) } else { loss_s };
                 victims.push(Victim { task: task.clone(), room: entry.room, loss_s });
             }
+            let fetch_rate = self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s);
             let fetch_s = match m.has_image(&ask.image) || fetch_rate <= 0.0 {
                 true => 0.0,
                 false => ask.image_gb / fetch_rate,
             };
-            candidates.push(Candidate { machine: m.id.clone(), free, victims, fetch_s });
+            let (machine, zone) = (m.id.clone(), m.zone.clone());
+            candidates.push(Candidate { machine, zone, free, victims, fetch_s });
         }
-        let Some((machine, tasks)) = preemption::choose(candidates, &ask.room) else { return true };
-        tracing::info!(job = %ask.job, %machine, tasks = tasks.len(), "preempts");
-        let several = tasks.len() > 1;
+        let wanted = preemption::Wanted {
+            room: &ask.room,
+            tasks: if guaranteed.is_some() { 1 } else { ask.tasks.len() as u32 },
+            gang: ask.shape == Shape::Gang,
+            together: ask.together,
+            zones: &ask.zones,
+        };
+        let clearings = preemption::choose(candidates, &wanted);
+        if clearings.iter().all(|(_, tasks)| tasks.is_empty()) {
+            return false;
+        }
+        let stopped: usize = clearings.iter().map(|(_, tasks)| tasks.len()).sum();
+        tracing::info!(job = %ask.job, machines = clearings.len(), stopped, "preempts");
         let mut longest = 0.0f64;
-        for task in tasks {
+        for (machine, task) in clearings.iter().flat_map(|(m, tasks)| tasks.iter().map(move |t| (m, t))) {
             let Some(other) = self.runs.get(&task.job) else { continue };
             let grace = gangs::save_grace_s(&other.job.spec);
             longest = longest.max(grace);
             if other.is_gang() {
                 self.stop_job(&task.job, grace, now);
             } else {
-                self.stop_task(&machine, &task, grace, now);
+                self.stop_task(machine, task, grace, now);
             }
         }
         let until = now + PREEMPT_PAUSE + Span::secs(longest);
-        // Room that several have to leave comes piece by piece: held, or small tasks would take
-        // each piece. A single place may go to whoever ranks first.
-        if several && let Some(m) = self.machines.get_mut(&machine) {
-            m.held = Some((ask.job.clone(), until));
+        // Room that several have to leave, or that lies on several machines, comes piece by piece:
+        // held, or small tasks would take each piece. A single place may go to whoever ranks first.
+        for (machine, tasks) in &clearings {
+            if (wanted.gang && wanted.tasks > 1 || tasks.len() > 1)
+                && let Some(m) = self.machines.get_mut(machine)
+            {
+                m.held = Some((ask.job.clone(), until));
+            }
         }
         if let Some(run) = self.runs.get_mut(&ask.job) {
             run.making_room_until = Some(until);
--- a/src/node/master/stock.rs
+++ b/src/node/master/stock.rs
@@ -43,7 +43,7 @@
         for (id, known) in mirror.iter() {
             if let Some(job) = known.record.open() {
                 self.journal.loaded(&jobs::key(id), known.stamp);
-                self.runs.entry(id.clone()).or_insert_with(|| Run::new(job.clone()));
+                self.runs.entry(id.clone()).or_insert_with(|| Run::new(job.clone(), now));
             }
         }
         for pair in std::mem::take(&mut self.progress) {
--- a/src/preemption/mod.rs
+++ b/src/preemption/mod.rs
@@ -3,7 +3,7 @@
 //! Work makes way for a job of higher priority, and work beyond its own team's guarantee makes
 //! way for another team's job within its guarantee. Replicas of services never do.
 
-use crate::types::{MachineId, Room, TaskId};
+use crate::types::{MachineId, Room, TaskId, Zone};
 
 /// A task that may be stopped, and what that loses in seconds of work.
 #[derive(Debug, Clone)]
@@ -13,50 +13,110 @@
     pub loss_s: f64,
 }
 
-/// A machine that could hold the waiting task if some victims left.
+/// A machine that could hold a waiting task if some victims left.
 #[derive(Debug, Clone)]
 pub struct Candidate {
     pub machine: MachineId,
+    pub zone: Zone,
     pub free: Room,
     pub victims: Vec<Victim>,
     /// What the waiting task would still wait for there.
     pub fetch_s: f64,
 }
 
-/// The machine on which making room for `need` loses least, and who has to leave it.
-pub fn choose(candidates: Vec<Candidate>, need: &Room) -> Option<(MachineId, Vec<TaskId>)> {
-    let mut best: Option<(f64, MachineId, Vec<TaskId>)> = None;
-    for mut c in candidates {
-        c.victims.sort_by(|a, b| a.loss_s.total_cmp(&b.loss_s));
-        let (mut free, mut cost, mut leave) = (c.free, c.fetch_s, Vec::new());
-        for v in &c.victims {
-            if need.fits_in(&free) {
-                break;
+/// Work that waits for room.
+#[derive(Debug, Clone)]
+pub struct Wanted<'a> {
+    pub room: &'a Room,
+    pub tasks: u32,
+    /// All tasks at once or none.
+    pub gang: bool,
+    pub together: bool,
+    /// Zones and how many of the tasks each may take.
+    pub zones: &'a [(Zone, u32)],
+}
+
+/// A machine where room is made, and who has to leave it.
+pub type Clearing = (MachineId, Vec<TaskId>);
+
+struct Choice {
+    cost: f64,
+    zone: Zone,
+    slots: u32,
+    clearing: Clearing,
+}
+
+/// Where making room loses least. For a gang that is room for all its tasks, machines with room
+/// already among them; else as many as there are.
+pub fn choose(candidates: Vec<Candidate>, wanted: &Wanted) -> Vec<Clearing> {
+    let mut options: Vec<Choice> = Vec::new();
+    for c in candidates {
+        let slots = c.free.count_of(wanted.room);
+        if slots > 0 {
+            // Work other than gangs is placed there by rounds.
+            if wanted.gang {
+                let clearing = (c.machine, Vec::new());
+                options.push(Choice { cost: c.fetch_s, zone: c.zone, slots, clearing });
             }
-            free = free.plus(&v.room);
-            cost += v.loss_s;
-            leave.push(v.clone());
+        } else if let Some((loss, leave)) = least_loss(&c, wanted.room) {
+            let clearing = (c.machine, leave);
+            options.push(Choice { cost: loss + c.fetch_s, zone: c.zone, slots: 1, clearing });
         }
-        if !need.fits_in(&free) {
-            continue;
+    }
+    options.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+    if !(wanted.gang && wanted.together) {
+        return take(&options, wanted, wanted.zones).map(|(_, c)| c).unwrap_or_default();
+    }
+    let by_zone = wanted.zones.iter().filter_map(|zone| take(&options, wanted, std::slice::from_ref(zone)));
+    by_zone.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, c)| c).unwrap_or_default()
+}
+
+/// The cheapest options for `wanted` in `zones`, and what they cost.
+fn take(options: &[Choice], wanted: &Wanted, zones: &[(Zone, u32)]) -> Option<(f64, Vec<Clearing>)> {
+    let (mut zones, mut left, mut cost, mut out) = (zones.to_vec(), wanted.tasks, 0.0, Vec::new());
+    for o in options {
+        let Some((_, room)) = zones.iter_mut().find(|(z, n)| *z == o.zone && *n > 0) else { continue };
+        let slots = o.slots.min(*room).min(left);
+        *room -= slots;
+        left -= slots;
+        cost += o.cost;
+        out.push(o.clearing.clone());
+        if left == 0 {
+            break;
         }
-        // Some taken first may prove unnecessary once larger ones are in.
-        let mut i = 0;
-        while i < leave.len() {
-            let without = free.minus(&leave[i].room);
-            if need.fits_in(&without) {
-                free = without;
-                cost -= leave[i].loss_s;
-                leave.remove(i);
-            } else {
-                i += 1;
-            }
+    }
+    (left == 0 || !wanted.gang).then_some((cost, out))
+}
+
+/// Who leaves the machine so that `need` fits, and what that loses.
+fn least_loss(c: &Candidate, need: &Room) -> Option<(f64, Vec<TaskId>)> {
+    let mut victims: Vec<&Victim> = c.victims.iter().collect();
+    victims.sort_by(|a, b| a.loss_s.total_cmp(&b.loss_s));
+    let (mut free, mut cost, mut leave) = (c.free, 0.0, Vec::new());
+    for v in victims {
+        if need.fits_in(&free) {
+            break;
         }
-        if !leave.is_empty() && best.as_ref().is_none_or(|(b, ..)| cost < *b) {
-            best = Some((cost, c.machine, leave.into_iter().map(|v| v.task).collect()));
+        free = free.plus(&v.room);
+        cost += v.loss_s;
+        leave.push(v);
+    }
+    if !need.fits_in(&free) || leave.is_empty() {
+        return None;
+    }
+    // Some taken first may prove unnecessary once larger ones are in.
+    let mut i = 0;
+    while i < leave.len() {
+        let without = free.minus(&leave[i].room);
+        if need.fits_in(&without) {
+            free = without;
+            cost -= leave[i].loss_s;
+            leave.remove(i);
+        } else {
+            i += 1;
         }
     }
-    best.map(|(_, machine, tasks)| (machine, tasks))
+    (!leave.is_empty()).then(|| (cost, leave.into_iter().map(|v| v.task.clone()).collect()))
 }
 
 #[cfg(test)]
@@ -67,6 +127,7 @@
         let room = |gpus| Room { cpus: 0.0, gpus, memory_gb: 0.0 };
         Candidate {
             machine: id.into(),
+            zone: if id < "c" { "x".into() } else { "y".into() },
             free: room(free),
             victims: victims
                 .iter()
@@ -90,7 +151,25 @@
             candidate("c", 1.0, &[(1.0, 0.5)], 25.0),
             candidate("d", 0.0, &[(1.0, 0.1)], 0.0),
         ];
-        let (machine, tasks) = choose(all, &need).expect("b can make room");
-        assert_eq!((machine.as_str(), tasks.len(), tasks[0].index), ("b", 1, 1));
+        let zones = [("x".into(), 9), ("y".into(), 9)];
+        let wanted = |tasks, gang, together| Wanted { room: &need, tasks, gang, together, zones: &zones };
+        let one = choose(all.clone(), &wanted(1, false, false));
+        assert_eq!((one.len(), one[0].0.as_str(), one[0].1.len(), one[0].1[0].index), (1, "b", 1, 1));
+        assert_eq!(choose(all.clone(), &wanted(9, false, false)).len(), 3, "as many as there are");
+        assert!(choose(all.clone(), &wanted(4, true, false)).is_empty(), "a gang: all or none");
+        let gang = choose(all, &wanted(2, true, true));
+        let machines: Vec<&str> = gang.iter().map(|(m, _)| m.as_str()).collect();
+        assert_eq!(machines, ["b", "a"], "room for all of it, in one zone");
+    }
+
+    /// Only gangs of one task ever had room made for them.
+    #[test]
+    fn a_gang_counts_room_that_is_there_already() {
+        let need = Room { cpus: 0.0, gpus: 2.0, memory_gb: 0.0 };
+        let all = vec![candidate("a", 2.0, &[], 0.0), candidate("b", 0.0, &[(2.0, 3.0)], 0.0)];
+        let zones = [("x".into(), 9)];
+        let wanted = Wanted { room: &need, tasks: 2, gang: true, together: true, zones: &zones };
+        let got = choose(all, &wanted);
+        assert_eq!(got.iter().map(|(m, t)| (m.as_str(), t.len())).collect::<Vec<_>>(), [("a", 0), ("b", 1)]);
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,7 +3,7 @@
 //! Unknown fields of the platform's file are ignored (new ones may come); unknown operator keys
 //! are errors, since a misspelt key would otherwise silently leave its default in force.
 
-use crate::types::{NodeName, Span, TeamName, Zone};
+use crate::types::{Kind, NodeName, Span, TeamName, Zone};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -230,6 +230,18 @@
     pub operator: Operator,
 }
 
+impl Settings {
+    /// Within how many seconds work of `kind` is to start, if the users say so.
+    pub fn wait_objective(&self, kind: &Kind, guaranteed: bool) -> Option<f64> {
+        let counts = |o: &&Objective| match o.kind.as_str() {
+            "wait" => o.class.as_deref() == Some(kind.as_str()),
+            "guarantee" => guaranteed,
+            _ => false,
+        };
+        self.objectives.iter().filter(counts).filter_map(|o| o.within_s).min_by(f64::total_cmp)
+    }
+}
+
 struct Checker {
     file: String,
     faults: Vec<Fault>,
