--- a/src/node/master/stock.rs
+++ b/src/node/master/stock.rs
@@ -173,6 +173,7 @@
 
     pub(super) fn take_digest(&mut self, machine: &MachineId, digest: Digest, now: Time) {
         for task in digest.began {
+            tracing::debug!(%task, %machine, "runs");
             self.touch(&task.job);
             let Some(run) = self.runs.get(&task.job) else { continue };
             let spec = &run.job.spec;
