Replicas displace less urgent work where their image is, instead of fetching elsewhere

Free machines without the image were taken before busy ones with it were looked at. Now a replica's place is cleared, without waiting for saves, where the image is.

--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -74,6 +74,8 @@
     pub errors: u32,
     /// Others have been stopped for it, and should be gone by then.
     pub making_room_until: Option<Time>,
+    /// Replicas that wait for room being made where their image is.
+    pub promised: u32,
     /// Why it waits, for operators.
     pub why: &'static str,
     /// First time that all tasks were done, while that waits to be written.
@@ -97,6 +99,7 @@
             seen: now,
             errors: 0,
             making_room_until: None,
+            promised: 0,
             why: "new",
             finishing: false,
             low: 0,
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -48,6 +48,8 @@
 const PREEMPT_AGAIN: Span = Span::ms(1000);
 /// Part of the time within which work is to start that it waits before others are stopped for it.
 const PREEMPT_AFTER: f64 = 0.6;
+/// Seconds of fetching that are worth stopping less urgent work where the image is.
+const IMAGE_WORTH_S: f64 = 5.0;
 /// Waiting less urgent work, as a part of what is placed, from which on no gang stops more of it.
 const CROWDED: f64 = 0.1;
 /// What a stopped task loses besides its work, in seconds: a new place, and often a new fetch.
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -118,7 +118,7 @@
         let views = self.open_views(&asks, now);
         let mut by_node: BTreeMap<NodeName, Vec<TaskAsk>> = BTreeMap::new();
         let mut scans = PREEMPTIONS_AT_ONCE;
-        for ask in asks {
+        for mut ask in asks {
             let Some(run) = self.runs.get_mut(&ask.job) else { continue };
             if !live.contains(&run.home) {
                 run.home = me.clone();
@@ -127,6 +127,13 @@
             if self.offers.contains_key(&home) {
                 continue;
             }
+            if ask.shape == Shape::Service {
+                let kept = self.keep_for_image(&ask, &views, &mut scans, now) as usize;
+                ask.tasks.truncate(ask.tasks.len() - kept.min(ask.tasks.len()));
+                if ask.tasks.is_empty() {
+                    continue;
+                }
+            }
             // What fits nowhere is not offered: a round's answer would only say the same.
             if !self.make_fit(&home, &ask, &views) {
                 if scans > 0 {
@@ -255,7 +262,10 @@
             if let Some(run) = self.runs.get_mut(&ask.job) {
                 run.place(index, machine.clone());
                 run.attempt = Some(attempt);
-                run.making_room_until = None;
+                run.promised = run.promised.saturating_sub(1);
+                if run.promised == 0 {
+                    run.making_room_until = None;
+                }
             }
             if let Some(m) = self.machines.get_mut(&machine)
                 && m.held.as_ref().is_some_and(|(job, _)| *job == ask.job)
@@ -374,12 +384,44 @@
         if several && self.crowded(spec.priority) {
             return true;
         }
-        if !self.clear_for(ask, &spec, None, now) && mine && one {
-            self.clear_for(ask, &spec, Some(&guaranteed), now);
+        if self.clear_for(ask, &spec, Clear::Lower, now) == 0 && mine && one {
+            self.clear_for(ask, &spec, Clear::Beyond(&guaranteed), now);
         }
         true
     }
 
+    /// Replicas that should rather wait for room where their image is than be fetched elsewhere:
+    /// a fetch takes longer than less urgent work needs to leave. Gives how many wait now.
+    fn keep_for_image(&mut self, ask: &TaskAsk, views: &[MachineView], scans: &mut usize, now: Time) -> u32 {
+        let tasks = ask.tasks.len() as u32;
+        let ready: u32 = views
+            .iter()
+            .filter(|v| ask.allows(v) && v.images.contains(&ask.image))
+            .map(|v| v.free.count_of(&ask.room))
+            .sum();
+        let Some(run) = self.runs.get_mut(&ask.job) else { return 0 };
+        if run.making_room_until.is_none_or(|until| now >= until) {
+            run.promised = 0;
+        }
+        let fetch_rate = self.market.types.iter().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
+        let worth_it = fetch_rate > 0.0 && ask.image_gb / fetch_rate > IMAGE_WORTH_S;
+        if run.promised == 0 && ready < tasks && worth_it && *scans > 0 && run.making_room_until.is_none() {
+            *scans -= 1;
+            let spec = run.job.spec.clone();
+            let mut missing = ask.clone();
+            missing.tasks.truncate((tasks - ready) as usize);
+            let made = self.clear_for(&missing, &spec, Clear::WithImage, now);
+            if let Some(run) = self.runs.get_mut(&ask.job) {
+                run.promised = made;
+                if made == 0 {
+                    run.making_room_until = Some(now + PREEMPT_AGAIN);
+                }
+            }
+        }
+        let promised = self.runs.get(&ask.job).map_or(0, |r| r.promised);
+        promised.saturating_sub(ready).min(tasks)
+    }
+
     /// Whether so much work below `priority` waits that what was stopped would wait long.
     fn crowded(&self, priority: Priority) -> bool {
         let lower = self.runs.values().filter(|r| r.job.spec.priority < priority);
@@ -388,15 +430,8 @@
         waiting as f64 > placed as f64 * CROWDED
     }
 
-    /// Stops what loses least so that `ask` fits; tells whether anything is. With `guaranteed`,
-    /// victims are other teams' work beyond their guarantee, else less urgent work.
-    fn clear_for(
-        &mut self,
-        ask: &TaskAsk,
-        spec: &JobSpec,
-        guaranteed: Option<&BTreeSet<JobId>>,
-        now: Time,
-    ) -> bool {
+    /// Stops what loses least so that `ask` fits; gives the number of machines where that makes room.
+    fn clear_for(&mut self, ask: &TaskAsk, spec: &JobSpec, how: Clear, now: Time) -> u32 {
         let mut candidates = Vec::new();
         for m in self.machines.values() {
             let may = m.open_for_tasks(now)
@@ -406,7 +441,7 @@
                 && (ask.spot || !m.spot)
                 && ask.room.fits_in(&m.total)
                 && ask.zones.iter().any(|(z, n)| *z == m.zone && *n > 0);
-            if !may {
+            if !may || (matches!(how, Clear::WithImage) && !m.has_image(&ask.image)) {
                 continue;
             }
             let (mut free, mut victims) = (m.free(), Vec::new());
@@ -417,9 +452,11 @@
                 }
                 let Some(other) = self.runs.get(&task.job) else { continue };
                 let o = &other.job.spec;
-                let may_stop = match guaranteed {
-                    None => o.priority < spec.priority,
-                    Some(kept) => {
+                let may_stop = match how {
+                    Clear::Lower => o.priority < spec.priority,
+                    // At once: no whole gangs, and no wait for a save below.
+                    Clear::WithImage => o.priority < spec.priority && !other.is_gang(),
+                    Clear::Beyond(kept) => {
                         o.team != spec.team && !kept.contains(&task.job) && !(other.is_gang() && o.tasks > 1)
                     }
                 };
@@ -444,21 +481,24 @@
         }
         let wanted = preemption::Wanted {
             room: &ask.room,
-            tasks: if guaranteed.is_some() { 1 } else { ask.tasks.len() as u32 },
+            tasks: if matches!(how, Clear::Beyond(_)) { 1 } else { ask.tasks.len() as u32 },
             gang: ask.shape == Shape::Gang,
             together: ask.together,
             zones: &ask.zones,
         };
         let clearings = preemption::choose(candidates, &wanted);
         if clearings.iter().all(|(_, tasks)| tasks.is_empty()) {
-            return false;
+            return 0;
         }
         let stopped: usize = clearings.iter().map(|(_, tasks)| tasks.len()).sum();
         tracing::info!(job = %ask.job, machines = clearings.len(), stopped, "preempts");
         let mut longest = 0.0f64;
         for (machine, task) in clearings.iter().flat_map(|(m, tasks)| tasks.iter().map(move |t| (m, t))) {
             let Some(other) = self.runs.get(&task.job) else { continue };
-            let grace = gangs::save_grace_s(&other.job.spec);
+            let grace = match how {
+                Clear::WithImage => 0.0,
+                _ => gangs::save_grace_s(&other.job.spec),
+            };
             longest = longest.max(grace);
             if other.is_gang() {
                 self.stop_job(&task.job, grace, now);
@@ -470,7 +510,8 @@
         // Room that several have to leave, or that lies on several machines, comes piece by piece:
         // held, or small tasks would take each piece. A single place may go to whoever ranks first.
         for (machine, tasks) in &clearings {
-            if (wanted.gang && wanted.tasks > 1 || tasks.len() > 1)
+            let image = matches!(how, Clear::WithImage);
+            if (image || wanted.gang && wanted.tasks > 1 || tasks.len() > 1)
                 && let Some(m) = self.machines.get_mut(machine)
             {
                 m.held = Some((ask.job.clone(), until));
@@ -480,10 +521,21 @@
             run.making_room_until = Some(until);
             run.why = "others are making room for it";
         }
-        true
+        clearings.len() as u32
     }
 }
 
+/// Whose work is stopped.
+#[derive(Clone, Copy)]
+enum Clear<'a> {
+    /// Less urgent work.
+    Lower,
+    /// Less urgent work on machines that have the image, without waiting for saves.
+    WithImage,
+    /// Other teams' work beyond their guarantee: all but these jobs.
+    Beyond(&'a BTreeSet<JobId>),
+}
+
 fn ask_for(id: &JobId, spec: &JobSpec, tasks: Vec<u32>, zones: Vec<(Zone, u32)>) -> TaskAsk {
     TaskAsk {
         job: id.clone(),
