Nothing dear is rented for array work whose places come free sooner

Now an array's tasks are taken to follow one another on the same places; while that is sooner than a new machine, offers of over twice the cheapest price are left alone. Ruled out: idle time (45 s), boots. Test: the_cheapest_adequate_offer_is_rented_and_what_is_coming_counts.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,6 +31,8 @@
     pub zones: Vec<(Zone, u32)>,
     /// All tasks of it must be in one zone.
     pub together: bool,
+    /// It will soon have places that come free: nothing dear is rented for it.
+    pub patient: bool,
 }
 
 impl Need {
@@ -54,6 +56,8 @@
     }
 }
 
+/// From how many times the cheapest price of a task's place on an offer is dear.
+const DEAR: f64 = 2.0;
 /// Machines planned for one need at a time, so that a large one is spread over zones.
 const AT_ONCE: u32 = 4;
 
@@ -145,15 +149,20 @@
     /// The cheapest offer per task that isn't refused now, and what one machine of it holds.
     fn best(&self, need: &Need, wanted: u32, per_zone: &BTreeMap<Zone, u32>) -> Option<(Offer, Room)> {
         let mut best: Option<(f64, u32, Offer, Room)> = None;
+        let mut cheapest = f64::MAX;
         for t in self.types.iter().filter(|t| need.room.fits_in(&t.room())) {
             let slots = t.room().count_of(&need.room).min(wanted.max(1));
             for zone in &t.zones {
                 for spot in [false, true] {
                     let offer = Offer { type_name: t.name.clone(), zone: zone.clone(), spot };
-                    if need.allowed(&offer) == 0 || self.refused.contains_key(&offer) {
+                    if need.allowed(&offer) == 0 {
                         continue;
                     }
                     let cost = t.hourly(spot) / f64::from(slots.max(1));
+                    cheapest = cheapest.min(cost);
+                    if self.refused.contains_key(&offer) {
+                        continue;
+                    }
                     let there = per_zone.get(zone).copied().unwrap_or(0);
                     if best.as_ref().is_none_or(|(c, n, ..)| (cost, there) < (*c, *n)) {
                         best = Some((cost, there, offer, t.room()));
@@ -161,7 +170,8 @@
                 }
             }
         }
-        best.map(|(_, _, offer, room)| (offer, room))
+        best.filter(|(cost, ..)| !need.patient || *cost <= cheapest * DEAR)
+            .map(|(_, _, offer, room)| (offer, room))
     }
 }
 
@@ -220,6 +230,7 @@
             spot,
             zones: vec![("a".into(), 99_999), ("b".into(), 99_999)],
             together: false,
+            patient: false,
         }
     }
 
@@ -235,6 +246,12 @@
         let room = Room { cpus: 8.0, gpus: 2.0, memory_gb: 8.0 };
         let coming = vec![Coming { offer: offer("small", "b", false), free: room, number: 1 }];
         assert_eq!(plan(&mut m, need(2, 1.0, false), coming), []);
+        m.refuse(offer("small", "a", true), Time::from_ms(9));
+        m.refuse(offer("small", "b", true), Time::from_ms(9));
+        let mut patient = need(1, 1.0, true);
+        assert_eq!(plan(&mut m, patient.clone(), vec![]), [(offer("small", "a", false), 1)]);
+        patient.patient = true;
+        assert_eq!(plan(&mut m, patient, vec![]), [], "three times the price, and it can wait");
         m.refuse(offer("small", "a", false), Time::from_ms(9));
         assert_eq!(plan(&mut m, need(1, 1.0, false), vec![]), [(offer("small", "b", false), 1)]);
     }
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -230,11 +230,36 @@
                 spot: spec.spot,
                 zones: self.zone_room(id, run),
                 together: spec.together,
+                patient: spec.shape == Shape::Array && spec.estimate.0 > 0,
             });
         }
+        self.judge_patience(&mut needs);
         needs
     }
 
+    /// Tasks of arrays follow one another on the same places. While those that wait will get one
+    /// sooner than a new machine would be up and done with its first, they needn't have dear ones.
+    fn judge_patience(&self, needs: &mut [Need]) {
+        let arrays = || self.runs.values().filter(|r| r.job.spec.shape == Shape::Array);
+        let (mut waiting, mut work_s) = (0.0, 0.0);
+        for run in arrays() {
+            let tasks = f64::from(run.waiting_count());
+            waiting += tasks;
+            work_s += tasks * run.job.spec.estimate.as_secs();
+        }
+        let Some(need) = needs.iter().find(|n| n.patient).map(|n| n.room) else { return };
+        let placed: usize = arrays().map(|r| r.placed().len()).sum();
+        let coming = self.machines.values().filter(|m| m.standing == Standing::Booting);
+        let coming: u32 = coming.map(|m| m.free().count_of(&need)).sum();
+        let places = (placed as f64 + f64::from(coming)).max(1.0);
+        let boot_s = self.market.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let mean_s = if waiting > 0.0 { work_s / waiting } else { 0.0 };
+        let soon = work_s / places <= boot_s + mean_s;
+        for need in needs {
+            need.patient &= soon;
+        }
+    }
+
     pub(super) fn rentals(&mut self, now: Time) -> Vec<(CloudRequest, CloudOp)> {
         if now < self.rent_not_before
             || now.since(self.since) < Span::ms(2000)
