Silent workers are asked directly; a zone that falls silent as a whole is kept till its leases end

Now a worker late by 1.35 intervals is asked, two questions without an answer give it up, and where over a third of a zone is silent nobody is given up before the lease's end.

--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -32,6 +32,18 @@
 const PROGRESS_PREFIX: &str = "p/";
 const PAGE: u32 = 200;
 const HOUSEKEEPING_EVERY: Span = Span::ms(500);
+/// How long a worker has to answer an order, and a question whether it is there.
+const WORKER_PATIENCE: Span = Span::ms(3000);
+const PROBE_PATIENCE: Span = Span::ms(1500);
+/// Silent workers that are asked at a time, and from how many report intervals of silence on.
+const PROBES_AT_ONCE: usize = 16;
+const PROBE_AFTER_REPORTS: f64 = 1.35;
+/// Questions in a row without an answer after which a worker counts as lost.
+const PROBES_LOST: u32 = 2;
+/// Part of a zone's machines that, silent together, are cut off rather than lost.
+const ZONE_SILENT: f64 = 0.34;
+/// A cut-off worker kills its tasks when its lease ends; shortly before, waiting gains no more.
+const LEASE_MARGIN_S: f64 = 2.0;
 /// Workers that are told the fence directly at a time.
 const PUSHES_AT_ONCE: usize = 8;
 /// A returned machine's late reports and listings are ignored for this long.
@@ -50,6 +62,10 @@
 const PREEMPT_AFTER: f64 = 0.6;
 /// Seconds of fetching that are worth stopping less urgent work where the image is.
 const IMAGE_WORTH_S: f64 = 5.0;
+/// Jobs that have to fail on a machine, with none done between, before it counts as faulty.
+const MACHINE_AT_FAULT: usize = 2;
+/// Failures in a row from which on they speak of the job rather than of machines.
+const JOB_AT_FAULT: u32 = 4;
 /// Waiting less urgent work, as a part of what is placed, from which on no gang stops more of it.
 const CROWDED: f64 = 0.1;
 /// What a stopped task loses besides its work, in seconds: a new place, and often a new fetch.
@@ -145,6 +161,8 @@
     /// Workers that must hear of this leader's fence directly, and calls under way for it.
     to_push: BTreeSet<MachineId>,
     pushes: BTreeMap<OpId, MachineId>,
+    /// Silent workers that are asked whether they are there.
+    probes: BTreeMap<OpId, MachineId>,
     /// Workers with orders that needn't wait for their next report, and calls under way.
     to_direct: BTreeSet<MachineId>,
     directs: BTreeMap<OpId, DirectCall>,
@@ -319,6 +337,7 @@
             releasing: BTreeSet::new(),
             to_push: BTreeSet::new(),
             pushes: BTreeMap::new(),
+            probes: BTreeMap::new(),
             to_direct: BTreeSet::new(),
             directs: BTreeMap::new(),
             reload: Vec::new(),
@@ -529,6 +548,12 @@
             }
             return;
         }
+        if let Some(machine) = master.probes.remove(&op) {
+            if let Some(m) = master.machines.get_mut(&machine) {
+                m.unanswered = if status == 0 { m.unanswered + 1 } else { 0 };
+            }
+            return;
+        }
         let Some(machine) = master.pushes.remove(&op) else { return };
         // The body is a report, but only what it says of fence and session is used: it may have
         // been made before an order sent in answer to a report ran, and would prove nothing.
@@ -729,6 +754,14 @@
         master.drain_warned(now);
         master.mend_gangs(now);
         master.find_lost(now);
+        for (id, addr, body) in master.silent_workers(now) {
+            let op = self.op();
+            self.fx.push(Effect::Worker { op, addr, body, patience: PROBE_PATIENCE });
+            if let Some(master) = &mut self.master {
+                master.probes.insert(op, id);
+            }
+        }
+        let Some(master) = &mut self.master else { return };
         let mut calls = Vec::new();
         if now >= master.next_listing && master.list_after.is_none() {
             master.next_listing = now + Span::secs(self.settings.operator.list_every_s);
@@ -818,7 +851,7 @@
         }
         for (id, addr, body) in pushes {
             let op = self.op();
-            self.fx.push(Effect::Worker { op, addr, body });
+            self.fx.push(Effect::Worker { op, addr, body, patience: WORKER_PATIENCE });
             if let Some(master) = &mut self.master {
                 master.pushes.insert(op, id);
             }
@@ -864,7 +897,7 @@
         }
         for (addr, body, call) in calls {
             let op = self.op();
-            self.fx.push(Effect::Worker { op, addr, body });
+            self.fx.push(Effect::Worker { op, addr, body, patience: WORKER_PATIENCE });
             if let Some(master) = &mut self.master {
                 master.directs.insert(op, call);
             }
--- a/src/node/master/stock.rs
+++ b/src/node/master/stock.rs
@@ -221,6 +221,9 @@
         }
         let over = run.all_done();
         self.learned.push(Learned { machine: machine.clone(), kind, success: true });
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.failed.clear();
+        }
         let (key, version) = if over {
             self.finish(&task.job)
         } else {
@@ -308,13 +311,18 @@
         let Some(run) = self.runs.get_mut(&task.job) else { return };
         run.unplace(task.index, machine);
         tracing::debug!(%task, %machine, ?outcome, "task left");
+        let mut blamed = None;
         match outcome {
             Outcome::Failed => {
                 run.errors += 1;
-                let pause = 250u64 << run.errors.min(7);
+                // One failure speaks of the machine; several in a row may speak of the job.
+                let pause = if run.errors < 3 { 0 } else { 250u64 << (run.errors - 2).min(7) };
                 run.not_before = now + Span::ms(pause);
-                let kind = run.job.spec.kind.clone();
-                self.learned.push(Learned { machine: machine.clone(), kind, success: false });
+                let (kind, errors) = (run.job.spec.kind.clone(), run.errors);
+                if errors < JOB_AT_FAULT {
+                    self.learned.push(Learned { machine: machine.clone(), kind, success: false });
+                }
+                blamed = Some(errors);
             }
             Outcome::Refused | Outcome::NoRoom => run.not_before = now + Span::ms(1000),
             _ => {}
@@ -323,11 +331,14 @@
         if gangs::broken(run) {
             self.stop_job(&task.job, 0.0, now);
         }
+        if let Some(errors) = blamed {
+            self.blame(machine, &task.job, errors);
+        }
     }
 }
 
 #[cfg(test)]
-mod tests {
+pub(super) mod tests {
     use super::*;
     use crate::wire::workers::Report;
 
@@ -348,7 +359,15 @@
         }
     }
 
-    fn master() -> Master {
+    pub fn report(machine: &str, zone: &str, serial: u64) -> Report {
+        serde_json::from_str(&format!(
+            r#"{{"host":"{machine}","addr":"10.9.0.1:1","flavor":"t","region":"{zone}","preemptible":false,
+            "tenure":1,"serial":{serial},"fence":9,"shards":[]}}"#
+        ))
+        .expect("valid")
+    }
+
+    pub fn master() -> Master {
         let settings = crate::settings::parse(("p", crate::settings::tests::SAMPLE), None).expect("valid");
         Master::new(Arc::new(settings), Fence(9), Time::from_ms(1), Vec::new())
     }
@@ -370,12 +389,7 @@
             mirror.learn("req-1".into(), Stamp(1), Record::Open(Arc::new(job)));
             m.take_stock(&mirror, now);
             let dead = if live == "m-1" { "m-2" } else { "m-1" };
-            let report: Report = serde_json::from_str(&format!(
-                r#"{{"host":"{dead}","addr":"10.9.0.1:1","flavor":"t","region":"z0","preemptible":false,
-                "tenure":1,"serial":8,"fence":9,"shards":[]}}"#
-            ))
-            .expect("valid");
-            m.take_report(&report, Time::from_ms(2));
+            m.take_report(&report(dead, "z0", 8), Time::from_ms(2));
             let run = &m.runs[&JobId::from("req-1")];
             assert_eq!(run.placed().get(&0), Some(&MachineId::from(live)), "it is still on {live}");
         }
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -73,9 +73,30 @@
         let o = &self.settings.operator;
         let report = Span::secs(self.settings.workers.report_s);
         let suspect = self.silent_since.is_some_and(|at| now.since(at) < report.times(SUSPECT_REPORTS));
+        let late = report.times(PROBE_AFTER_REPORTS);
+        let mut zones: BTreeMap<&Zone, (u32, u32)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.standing == Standing::Up) {
+            let (all, silent) = zones.entry(&m.zone).or_default();
+            *all += 1;
+            *silent += u32::from(m.last_report.is_some_and(|at| now.since(at) > late));
+        }
+        // A zone that is cut off goes on working inside until its workers' leases end: returning its
+        // machines before would only stop what runs.
+        let cut: BTreeSet<Zone> = zones
+            .into_iter()
+            .filter(|(_, (all, silent))| *silent > 2 && f64::from(*silent) > f64::from(*all) * ZONE_SILENT)
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        let lost_after = report.times(o.lost_reports);
+        let lease_ends = Span::secs(self.settings.workers.lease_s - LEASE_MARGIN_S);
         for m in self.machines.values_mut() {
             let lost = match (m.standing, m.last_report) {
-                (Standing::Up, Some(at)) => !suspect && now.since(at) > report.times(o.lost_reports),
+                (Standing::Up, Some(at)) if cut.contains(&m.zone) => {
+                    !suspect && now.since(at) > lost_after.max(lease_ends)
+                }
+                (Standing::Up, Some(at)) => {
+                    !suspect && (now.since(at) > lost_after || m.unanswered >= PROBES_LOST)
+                }
                 (Standing::Booting, _) => self
                     .market
                     .types
@@ -101,14 +122,45 @@
         }
     }
 
+    /// A task of `job`, which has failed `errors` times in a row, failed on `machine`. Tells
+    /// whether that makes the machine a faulty one, to be emptied and returned.
+    pub(super) fn blame(&mut self, machine: &MachineId, job: &JobId, errors: u32) -> bool {
+        let Some(m) = self.machines.get_mut(machine).filter(|_| errors < JOB_AT_FAULT) else { return false };
+        if !m.failed.contains(job) && m.failed.len() < MACHINE_AT_FAULT {
+            m.failed.push(job.clone());
+        }
+        if m.failed.len() >= MACHINE_AT_FAULT && !m.draining {
+            tracing::warn!(%machine, "fails one job after another; returning it once it is empty");
+            m.draining = true;
+        }
+        m.draining
+    }
+
+    /// Workers whose report is late and that are to be asked whether they are there.
+    pub(super) fn silent_workers(&mut self, now: Time) -> Vec<(MachineId, String, String)> {
+        let late = Span::secs(self.settings.workers.report_s).times(PROBE_AFTER_REPORTS);
+        let asked: BTreeSet<&MachineId> = self.probes.values().collect();
+        let silent = self.machines.values().filter(|m| {
+            m.standing == Standing::Up
+                && m.last_report.is_some_and(|at| now.since(at) > late)
+                && !asked.contains(&m.id)
+        });
+        let most = PROBES_AT_ONCE.saturating_sub(asked.len());
+        let question = |m: &Machine| {
+            let body = workers::command(self.fence, m.session.max(m.push_session), &[]);
+            m.addr.clone().map(|addr| (m.id.clone(), addr, body))
+        };
+        silent.filter_map(question).take(most).collect()
+    }
+
     /// Machines to return now.
     pub(super) fn returns(&mut self, now: Time) -> Vec<(CloudRequest, CloudOp)> {
         let idle = Span::secs(self.settings.operator.idle_return_s);
         for m in self.machines.values_mut() {
             let empty = m.entries.is_empty() && m.strays.is_empty();
             let idle_for = m.empty_since.map(|at| now.since(at)).unwrap_or_default();
-            if m.standing == Standing::Up && empty && idle_for >= idle {
-                tracing::info!(machine = %m.id, "idle; returning it");
+            if m.standing == Standing::Up && empty && (idle_for >= idle || m.draining) {
+                tracing::info!(machine = %m.id, faulty = m.draining, "idle; returning it");
                 m.standing = Standing::Releasing;
                 self.blocks.remove(&m.id);
             }
@@ -316,3 +368,72 @@
         out
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::stock::tests::{master, report};
+    use super::*;
+
+    fn fleet(zones: &[&str]) -> Master {
+        let mut m = master();
+        for (i, zone) in zones.iter().enumerate() {
+            m.take_report(&report(&format!("m-{i}"), zone, 1), Time::from_ms(1_000));
+        }
+        m
+    }
+
+    fn lost(m: &Master) -> Vec<&str> {
+        let lost = m.machines.values().filter(|m| m.standing == Standing::Releasing);
+        lost.map(|m| m.id.as_str()).collect()
+    }
+
+    /// A lost machine was given up after four report intervals, and its replicas were down so long.
+    #[test]
+    fn a_silent_worker_is_asked_and_given_up_when_it_does_not_answer() {
+        let mut m = fleet(&["z0", "z0", "z1"]);
+        let interval = (m.settings.workers.report_s * 1000.0) as u64;
+        let at = Time::from_ms(1_000 + interval * 14 / 10);
+        m.take_report(&report("m-1", "z0", 2), at);
+        m.take_report(&report("m-2", "z1", 2), at);
+        let asked = m.silent_workers(at);
+        assert_eq!(asked.iter().map(|(id, ..)| id.as_str()).collect::<Vec<_>>(), ["m-0"]);
+        m.machines.get_mut(&MachineId::from("m-0")).expect("there").unanswered = PROBES_LOST - 1;
+        m.find_lost(at);
+        assert!(lost(&m).is_empty(), "one lost answer proves little");
+        m.machines.get_mut(&MachineId::from("m-0")).expect("there").unanswered = PROBES_LOST;
+        m.find_lost(at);
+        assert_eq!(lost(&m), ["m-0"]);
+    }
+
+    /// A cut-off zone's tasks ran on inside until their machines were returned (andina, a day with
+    /// a zone cut alone).
+    #[test]
+    fn a_zone_silent_as_a_whole_is_kept_until_its_leases_end() {
+        let mut m = fleet(&["z0", "z0", "z0", "z0", "z1", "z1", "z1", "z1", "z1"]);
+        let lease = (m.settings.workers.lease_s * 1000.0) as u64;
+        let hear_others = |m: &mut Master, at: Time, serial: u64| {
+            (4..9).for_each(|i| m.take_report(&report(&format!("m-{i}"), "z1", serial), at));
+            m.machines.values_mut().filter(|m| m.zone == "z0".into()).for_each(|m| m.unanswered = 9);
+            m.find_lost(at);
+        };
+        hear_others(&mut m, Time::from_ms(1_000 + lease - 2_500), 2);
+        assert!(lost(&m).is_empty());
+        hear_others(&mut m, Time::from_ms(1_000 + lease), 3);
+        assert_eq!(lost(&m).len(), 4);
+    }
+
+    /// Faulty machines stand empty and so drew task after task; jobs that fail everywhere must not
+    /// make good machines look faulty.
+    #[test]
+    fn a_machine_that_fails_several_jobs_is_drained_and_one_job_alone_blames_nobody() {
+        let mut m = fleet(&["z0", "z0"]);
+        let (bad, job) = (MachineId::from("m-0"), |n: usize| JobId::from(format!("req-{n}").as_str()));
+        assert!(!m.blame(&bad, &job(1), 1));
+        assert!(!m.blame(&bad, &job(1), 2), "the same job again says nothing new");
+        assert!(!m.blame(&bad, &job(2), JOB_AT_FAULT), "this one fails wherever it runs");
+        assert!(m.blame(&bad, &job(3), 1));
+        assert!(m.machines[&bad].draining);
+        let calls = m.returns(Time::from_ms(9_000));
+        assert!(matches!(&calls[..], [(CloudRequest::Release { machines }, _)] if *machines == [bad]));
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -60,6 +60,6 @@
     Answer { request: OpId, status: u16, retry_after_s: Option<u32>, body: String },
     State { op: OpId, request: StateRequest, patience: Span },
     Cloud { op: OpId, request: CloudRequest, patience: Span },
-    Worker { op: OpId, addr: String, body: String },
+    Worker { op: OpId, addr: String, body: String, patience: Span },
     Peer { to: NodeName, bytes: Vec<u8> },
 }
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -32,7 +32,6 @@
 const BODY_PATIENCE: Duration = Duration::from_secs(5);
 const HEADER_PATIENCE: Duration = Duration::from_secs(60);
 const CONNECT_PATIENCE: Duration = Duration::from_millis(1000);
-const WORKER_PATIENCE: Duration = Duration::from_millis(3000);
 const ANSWER_PATIENCE: Duration = Duration::from_secs(10);
 const PEER_RETRY: Duration = Duration::from_millis(300);
 
@@ -145,8 +144,7 @@
                 };
                 Input::Cloud { op, reply }
             }
-            Effect::Worker { op, addr, body } => {
-                let patience = Span::ms(WORKER_PATIENCE.as_millis() as u64);
+            Effect::Worker { op, addr, body, patience } => {
                 let got = match addr.parse() {
                     Ok(addr) => {
                         fetch(&client, addr, http::Method::POST, "/do", body.into_bytes(), patience).await
--- a/src/node/world/mod.rs
+++ b/src/node/world/mod.rs
@@ -371,9 +371,9 @@
                 self.after(patience.0, Event::Timeout { node: i, life, op, kind: Kind::Cloud });
                 self.send(host, Host::Cloud, Event::Cloud { from: i, life, op, request });
             }
-            Effect::Worker { op, addr, body } => {
+            Effect::Worker { op, addr, body, patience } => {
                 opens(&mut self.nodes[i], op);
-                self.after(3000, Event::Timeout { node: i, life, op, kind: Kind::Worker });
+                self.after(patience.0, Event::Timeout { node: i, life, op, kind: Kind::Worker });
                 if let Some(m) = self.workers.iter().position(|w| w.addr == addr) {
                     self.send(host, Host::Machine(m), Event::Direct { from: i, life, op, addr, body });
                 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -54,6 +54,8 @@
     pub standing: Standing,
     pub rented_at: Time,
     pub last_report: Option<Time>,
+    /// Questions in a row, since the last report, that the worker didn't answer.
+    pub unanswered: u32,
     pub session: Session,
     pub serial: u64,
     pub fence: Fence,
@@ -76,6 +78,8 @@
     /// Version from which each planned entry is durable.
     pub planned: BTreeMap<TaskId, u64>,
     pub draining: bool,
+    /// Jobs that have failed here since one was done.
+    pub failed: Vec<JobId>,
     /// The job that others made room for here, and until when it has the first go.
     pub held: Option<(JobId, Time)>,
     /// Starts sent directly and never answered, with the session they name: while it lasts they
@@ -112,6 +116,7 @@
             standing: Standing::Booting,
             rented_at: now,
             last_report: None,
+            unanswered: 0,
             session: Session(0),
             serial: 0,
             fence: Fence(0),
@@ -127,6 +132,7 @@
             push_session: Session(0),
             planned: BTreeMap::new(),
             draining: false,
+            failed: Vec::new(),
             held: None,
             doubtful: BTreeMap::new(),
         }
@@ -261,6 +267,7 @@
         self.fence = report.fence;
         self.addr = Some(report.addr.clone());
         self.last_report = Some(now);
+        self.unanswered = 0;
         if self.standing == Standing::Booting {
             self.standing = Standing::Up;
             self.empty_since = Some(now);
