Nodes share when each zone was last heard; single gangs make way for replicas' images too

Pings now carry the ages, and a new leader goes on from them. Test: a_zone_silent_as_a_whole_is_kept_until_its_leases_end.

--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -2,12 +2,12 @@
 //! proposes inside its own. Also what controllers say to each other.
 
 use crate::placement::{Counts, Learned, MachineView, Proposal, TaskAsk};
-use crate::types::{Fence, JobId, MachineId, NodeName, Span, Time};
+use crate::types::{Fence, JobId, MachineId, NodeName, Span, Time, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Raised when messages change; a node drops what it doesn't understand.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Envelope {
@@ -18,8 +18,15 @@
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// "I am there", and what I can reach.
-    Ping { state_ok: bool, fence_seen: Fence, beat_at: (Fence, u64), hears_workers: bool },
+    /// "I am there", what I can reach, and how long ago a worker of each zone was heard by a
+    /// leader, as far as I know.
+    Ping {
+        state_ok: bool,
+        fence_seen: Fence,
+        beat_at: (Fence, u64),
+        hears_workers: bool,
+        zones_heard: Vec<(Zone, Span)>,
+    },
     /// From the leader: it leads, how jobs stand that have moved since its last beat, and what was
     /// learned of machines.
     Beat { fence: Fence, beat: u64, jobs: Vec<(JobId, u32, u32)>, learned: Vec<Learned> },
@@ -176,6 +183,7 @@
                 fence_seen: Fence(4),
                 beat_at: (Fence(4), 9),
                 hears_workers: false,
+                zones_heard: vec![("z".into(), Span::ms(1200))],
             },
         );
         let back = decode(&bytes).expect("readable");
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -8,7 +8,7 @@
 use crate::placement::{self, Counts, Factors};
 use crate::settings::Settings;
 use crate::store::Budget;
-use crate::types::{Fence, JobId, NodeName, OpId, Span, Stamp, Time, Wall};
+use crate::types::{Fence, JobId, NodeName, OpId, Span, Stamp, Time, Wall, Zone};
 use crate::wire::cloud::{CloudReply, CloudRequest, MachineType};
 use crate::wire::state::{Change, Pair, StateReply, StateRequest};
 use crate::wire::{users, workers};
@@ -94,6 +94,9 @@
     next_ping: Time,
     /// Last report that this node, not leading, had to turn away.
     pub(super) heard_worker: Time,
+    /// When a leader last heard a worker of each zone: a new one must not take a zone that was cut
+    /// off before its time for one that has just fallen silent.
+    pub(super) zones_heard: BTreeMap<Zone, Time>,
     leader_hint: Option<(Fence, NodeName, Time)>,
     pub(super) top_fence: Fence,
     pub(super) types: Vec<MachineType>,
@@ -136,6 +139,7 @@
             peers: BTreeMap::new(),
             next_ping: Time::default(),
             heard_worker: Time::default(),
+            zones_heard: BTreeMap::new(),
             leader_hint: None,
             top_fence: Fence(0),
             types: Vec::new(),
@@ -234,6 +238,7 @@
                 fence_seen: self.top_fence,
                 beat_at: self.beat_at,
                 hears_workers: now.since(self.heard_worker) < Span::ms(3000),
+                zones_heard: self.zones_heard.iter().map(|(z, at)| (z.clone(), now.since(*at))).collect(),
             };
             for peer in self.settings.clone().peers.iter() {
                 self.send_peer(&peer.name, ping.clone());
@@ -595,8 +600,13 @@
             return;
         }
         match message {
-            PeerMessage::Ping { state_ok, fence_seen, beat_at, hears_workers } => {
+            PeerMessage::Ping { state_ok, fence_seen, beat_at, hears_workers, zones_heard } => {
                 self.saw_fence(fence_seen);
+                for (zone, age) in zones_heard {
+                    let at = self.now.before(age);
+                    let heard = self.zones_heard.entry(zone).or_insert(at);
+                    *heard = at.max(*heard);
+                }
                 let state = PeerState { heard: self.now, state_ok, beat_at, hears_workers };
                 self.peers.insert(from, state);
             }
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -512,6 +512,12 @@
             let why = crate::wire::users::error("this machine was returned");
             return self.answer(request, 503, why);
         }
+        match self.zones_heard.get_mut(&report.zone) {
+            Some(heard) => *heard = now,
+            None => {
+                self.zones_heard.insert(report.zone.clone(), now);
+            }
+        }
         if !master.loaded() {
             // Its lease is renewed and it learns the fence; what it says of its tasks can only be
             // judged once the records are read.
@@ -753,7 +759,7 @@
         let Some(master) = &mut self.master else { return };
         master.drain_warned(now);
         master.mend_gangs(now);
-        master.find_lost(now);
+        master.find_lost(&self.zones_heard, now);
         for (id, addr, body) in master.silent_workers(now) {
             let op = self.op();
             self.fx.push(Effect::Worker { op, addr, body, patience: PROBE_PATIENCE });
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -455,7 +455,7 @@
                 let may_stop = match how {
                     Clear::Lower => o.priority < spec.priority,
                     // At once: no whole gangs, and no wait for a save below.
-                    Clear::WithImage => o.priority < spec.priority && !other.is_gang(),
+                    Clear::WithImage => o.priority < spec.priority && !(other.is_gang() && o.tasks > 1),
                     Clear::Beyond(kept) => {
                         o.team != spec.team && !kept.contains(&task.job) && !(other.is_gang() && o.tasks > 1)
                     }
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -69,7 +69,7 @@
 
     /// Machines that fell silent, or never came up, are returned: the cloud's 200 is the quick
     /// proof that their tasks are gone.
-    pub(super) fn find_lost(&mut self, now: Time) {
+    pub(super) fn find_lost(&mut self, zones_heard: &BTreeMap<Zone, Time>, now: Time) {
         let o = &self.settings.operator;
         let report = Span::secs(self.settings.workers.report_s);
         let suspect = self.silent_since.is_some_and(|at| now.since(at) < report.times(SUSPECT_REPORTS));
@@ -92,7 +92,8 @@
         for m in self.machines.values_mut() {
             let lost = match (m.standing, m.last_report) {
                 (Standing::Up, Some(at)) if cut.contains(&m.zone) => {
-                    !suspect && now.since(at) > lost_after.max(lease_ends)
+                    let heard = zones_heard.get(&m.zone).map_or(at, |heard| at.min(*heard));
+                    !suspect && now.since(heard) > lost_after.max(lease_ends)
                 }
                 (Standing::Up, Some(at)) => {
                     !suspect && (now.since(at) > lost_after || m.unanswered >= PROBES_LOST)
@@ -398,10 +399,10 @@
         let asked = m.silent_workers(at);
         assert_eq!(asked.iter().map(|(id, ..)| id.as_str()).collect::<Vec<_>>(), ["m-0"]);
         m.machines.get_mut(&MachineId::from("m-0")).expect("there").unanswered = PROBES_LOST - 1;
-        m.find_lost(at);
+        m.find_lost(&BTreeMap::new(), at);
         assert!(lost(&m).is_empty(), "one lost answer proves little");
         m.machines.get_mut(&MachineId::from("m-0")).expect("there").unanswered = PROBES_LOST;
-        m.find_lost(at);
+        m.find_lost(&BTreeMap::new(), at);
         assert_eq!(lost(&m), ["m-0"]);
     }
 
@@ -411,14 +412,20 @@
     fn a_zone_silent_as_a_whole_is_kept_until_its_leases_end() {
         let mut m = fleet(&["z0", "z0", "z0", "z0", "z1", "z1", "z1", "z1", "z1"]);
         let lease = (m.settings.workers.lease_s * 1000.0) as u64;
-        let hear_others = |m: &mut Master, at: Time, serial: u64| {
+        let hear_others = |m: &mut Master, heard: &BTreeMap<Zone, Time>, at: Time, serial: u64| {
             (4..9).for_each(|i| m.take_report(&report(&format!("m-{i}"), "z1", serial), at));
             m.machines.values_mut().filter(|m| m.zone == "z0".into()).for_each(|m| m.unanswered = 9);
-            m.find_lost(at);
+            m.find_lost(heard, at);
         };
-        hear_others(&mut m, Time::from_ms(1_000 + lease - 2_500), 2);
+        let unknown = BTreeMap::new();
+        hear_others(&mut m, &unknown, Time::from_ms(1_000 + lease - 2_500), 2);
         assert!(lost(&m).is_empty());
-        hear_others(&mut m, Time::from_ms(1_000 + lease), 3);
+        // A peer knows that an earlier leader had not heard the zone for longer than this one leads.
+        let longer = BTreeMap::from([(Zone::from("z0"), Time::from_ms(0))]);
+        hear_others(&mut m, &longer, Time::from_ms(1_000 + lease - 1_500), 3);
+        assert_eq!(lost(&m).len(), 4);
+        let mut m = fleet(&["z0", "z0", "z0", "z0", "z1", "z1", "z1", "z1", "z1"]);
+        hear_others(&mut m, &unknown, Time::from_ms(1_000 + lease), 2);
         assert_eq!(lost(&m).len(), 4);
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -142,6 +142,9 @@
     pub fn since(self, earlier: Time) -> Span {
         Span(self.0.saturating_sub(earlier.0))
     }
+    pub fn before(self, s: Span) -> Time {
+        Time(self.0.saturating_sub(s.0))
+    }
     pub fn as_ms(self) -> u64 {
         self.0
     }
