--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -234,6 +234,7 @@
             return 0;
         }
         let attempt = self.attempts.issue();
+        let soon = self.settings.wait_objective(&spec.kind, false);
         let mut placed = Vec::new();
         for (index, machine) in placements {
             let task = TaskId { job: ask.job.clone(), index };
@@ -257,6 +258,9 @@
                     planned_at: now,
                 },
             );
+            let whole = gang && !spec.room.times(2.0).fits_in(&m.total);
+            let boot_s = self.market.type_of(&m.type_name).map_or(0.0, |t| t.boot_s);
+            m.reserve |= whole && boot_s > soon.unwrap_or(f64::MAX);
             self.dirty.insert(machine.clone());
             self.recount(&machine, now);
             if let Some(run) = self.runs.get_mut(&ask.job) {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -78,6 +78,9 @@
     /// Version from which each planned entry is durable.
     pub planned: BTreeMap<TaskId, u64>,
     pub draining: bool,
+    /// Whether it held a gang's task that needs nearly all of it and is to start sooner than another
+    /// such machine could boot.
+    pub reserve: bool,
     /// Jobs that have failed here since one was done.
     pub failed: Vec<JobId>,
     /// The job that others made room for here, and until when it has the first go.
@@ -132,6 +135,7 @@
             push_session: Session(0),
             planned: BTreeMap::new(),
             draining: false,
+            reserve: false,
             failed: Vec::new(),
             held: None,
             doubtful: BTreeMap::new(),
