--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -62,8 +62,10 @@
 const PREEMPT_AFTER: f64 = 0.6;
 /// Seconds of fetching that are worth stopping less urgent work where the image is.
 const IMAGE_WORTH_S: f64 = 5.0;
-/// How many times longer than others a machine may stand empty that gangs need whole and at once.
-const RESERVE_IDLE: f64 = 4.0;
+/// Machines due within this count as nearly there for a gang, and how long free ones are then kept
+/// for it at a time.
+const HOLD_AHEAD: Span = Span::ms(10_000);
+const HOLD_FOR: Span = Span::ms(2000);
 /// Jobs that have to fail on a machine, with none done between, before it counts as faulty.
 const MACHINE_AT_FAULT: usize = 2;
 /// Failures in a row from which on they speak of the job rather than of machines.
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -115,7 +115,7 @@
         if asks.is_empty() {
             return Vec::new();
         }
-        let views = self.open_views(&asks, now);
+        let mut views = self.open_views(&asks, now);
         let mut by_node: BTreeMap<NodeName, Vec<TaskAsk>> = BTreeMap::new();
         let mut scans = PREEMPTIONS_AT_ONCE;
         for mut ask in asks {
@@ -139,6 +139,9 @@
                 if scans > 0 {
                     scans -= usize::from(self.preempt(&ask, now));
                 }
+                if ask.shape == Shape::Gang && ask.tasks.len() > 1 {
+                    self.hold_for_gang(&ask, &mut views, now);
+                }
                 continue;
             }
             by_node.entry(home).or_default().push(ask);
@@ -234,7 +237,6 @@
             return 0;
         }
         let attempt = self.attempts.issue();
-        let soon = self.settings.wait_objective(&spec.kind, false);
         let mut placed = Vec::new();
         for (index, machine) in placements {
             let task = TaskId { job: ask.job.clone(), index };
@@ -258,9 +260,6 @@
                     planned_at: now,
                 },
             );
-            let whole = gang && !spec.room.times(2.0).fits_in(&m.total);
-            let boot_s = self.market.type_of(&m.type_name).map_or(0.0, |t| t.boot_s);
-            m.reserve |= whole && boot_s > soon.unwrap_or(f64::MAX);
             self.dirty.insert(machine.clone());
             self.recount(&machine, now);
             if let Some(run) = self.runs.get_mut(&ask.job) {
@@ -394,6 +393,55 @@
         true
     }
 
+    /// Keeps free machines for a gang that fits as soon as others on their way are up: small tasks
+    /// took those rented for it one by one as they came.
+    fn hold_for_gang(&mut self, ask: &TaskAsk, views: &mut [MachineView], now: Time) {
+        // Worth idle machines only where the next one could not be up in time.
+        let within_s = self.settings.wait_objective(&ask.kind, false).unwrap_or(f64::MAX);
+        if self.market.types.iter().all(|t| t.boot_s <= within_s) {
+            return;
+        }
+        let need = ask.tasks.len() as u32;
+        let mut zones: BTreeMap<Zone, (u32, u32)> = BTreeMap::new();
+        for v in views.iter().filter(|v| ask.allows(v)) {
+            zones.entry(v.zone.clone()).or_default().0 += v.free.count_of(&ask.room);
+        }
+        for m in self.machines.values().filter(|m| m.standing == Standing::Booting) {
+            let boot = self.market.type_of(&m.type_name).map(MachineType::boot).unwrap_or_default();
+            // One that is long overdue may never come.
+            let due = m.rented_at + boot;
+            let fits = now + HOLD_AHEAD >= due
+                && now < due + HOLD_AHEAD
+                && ask.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
+                && (ask.spot || !m.spot)
+                && ask.zones.iter().any(|(z, n)| *z == m.zone && *n > 0);
+            if fits {
+                zones.entry(m.zone.clone()).or_default().1 += m.total.count_of(&ask.room);
+            }
+        }
+        let enough = |(free, soon): &(u32, u32)| *free > 0 && free + soon >= need;
+        let chosen: Vec<Zone> = if ask.together {
+            let best = zones.iter().filter(|(_, n)| enough(n)).max_by_key(|(_, n)| n.0);
+            best.map(|(z, _)| z.clone()).into_iter().collect()
+        } else {
+            let sum = zones.values().fold((0, 0), |a, n| (a.0 + n.0, a.1 + n.1));
+            if enough(&sum) { zones.into_keys().collect() } else { Vec::new() }
+        };
+        let mut left = need;
+        for v in views.iter_mut().filter(|v| chosen.contains(&v.zone)) {
+            if left == 0 {
+                break;
+            }
+            if ask.allows(v) {
+                left = left.saturating_sub(v.free.count_of(&ask.room));
+                v.held_for = Some(ask.job.clone());
+                if let Some(m) = self.machines.get_mut(&v.id) {
+                    m.held = Some((ask.job.clone(), now + HOLD_FOR));
+                }
+            }
+        }
+    }
+
     /// Replicas that should rather wait for room where their image is than be fetched elsewhere:
     /// a fetch takes longer than less urgent work needs to leave. Gives how many wait now.
     fn keep_for_image(&mut self, ask: &TaskAsk, views: &[MachineView], scans: &mut usize, now: Time) -> u32 {
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -160,7 +160,6 @@
         for m in self.machines.values_mut() {
             let empty = m.entries.is_empty() && m.strays.is_empty();
             let idle_for = m.empty_since.map(|at| now.since(at)).unwrap_or_default();
-            let idle = if m.reserve { idle.times(RESERVE_IDLE) } else { idle };
             if m.standing == Standing::Up && empty && (idle_for >= idle || m.draining) {
                 tracing::info!(machine = %m.id, faulty = m.draining, "idle; returning it");
                 m.standing = Standing::Releasing;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -78,9 +78,6 @@
     /// Version from which each planned entry is durable.
     pub planned: BTreeMap<TaskId, u64>,
     pub draining: bool,
-    /// Whether it held a gang's task that needs nearly all of it and is to start sooner than another
-    /// such machine could boot.
-    pub reserve: bool,
     /// Jobs that have failed here since one was done.
     pub failed: Vec<JobId>,
     /// The job that others made room for here, and until when it has the first go.
@@ -135,7 +132,6 @@
             push_session: Session(0),
             planned: BTreeMap::new(),
             draining: false,
-            reserve: false,
             failed: Vec::new(),
             held: None,
             doubtful: BTreeMap::new(),
