--- a/src/node/world/cloud.rs
+++ b/src/node/world/cloud.rs
@@ -21,6 +21,8 @@
     machines: BTreeMap<MachineId, Rented>,
     claims: BTreeMap<String, Vec<MachineId>>,
     pub outage: bool,
+    /// Machines given out in one answer at most, if more than 4.
+    pub generous: u32,
     /// Sabotage: answers 200 to a release and leaves the machine running.
     pub lazy: bool,
 }
@@ -64,7 +66,7 @@
                     return CloudReply::NoCapacity;
                 }
                 let mut ids = Vec::new();
-                for _ in 0..number.min(4) {
+                for _ in 0..number.min(self.cloud.generous.max(4)) {
                     let n = self.workers.len();
                     let id = MachineId::from(format!("m-{n:06}").as_str());
                     let listed = ListedMachine {
--- a/src/node/world/mod.rs
+++ b/src/node/world/mod.rs
@@ -173,7 +173,13 @@
 
 impl World {
     pub fn new(seed: u64) -> Self {
-        let settings: Vec<Arc<Settings>> = (0..NODES).map(|i| Arc::new(settings_of(i))).collect();
+        Self::of(seed, NODES, 12)
+    }
+
+    /// A world with `nodes` controllers and teams that may take `gpus` each.
+    pub fn of(seed: u64, nodes: usize, gpus: u32) -> Self {
+        let settings: Vec<Arc<Settings>> =
+            (0..nodes).map(|i| Arc::new(settings_of(i, nodes, gpus))).collect();
         let mut w = Self {
             now: 0,
             rng: StdRng::seed_from_u64(seed),
@@ -191,7 +197,7 @@
             sabotage: None,
             settings,
         };
-        for i in 0..NODES {
+        for i in 0..nodes {
             let empty = Node {
                 core: None,
                 life: 0,
@@ -430,7 +436,7 @@
         if user.stage == Stage::Submitting {
             self.rules.submitted(&user.id, &user.body);
         }
-        let i = self.rng.random_range(0..NODES);
+        let i = self.rng.random_range(0..self.settings.len());
         let patience = if self.users[u].stage == Stage::Polling { 2000 } else { 5000 };
         if self.request(i, Asker::User { user: u, ask }, Host::User, method, path, body) {
             self.after(patience, Event::UserTimeout { user: u, ask });
@@ -526,15 +532,16 @@
     }
 }
 
-fn settings_of(i: usize) -> Settings {
+fn settings_of(i: usize, nodes: usize, gpus: u32) -> Settings {
     let mut text = format!(
         "node = \"n{i}\"\nsite = \"z{i}\"\napi_addr = \"10.0.0.{i}:8080\"\nback = \"10.0.0.{i}:8081\"\n"
     );
-    for j in (0..NODES).filter(|j| *j != i) {
+    for j in (0..nodes).filter(|j| *j != i) {
         text += &format!("[[seeds]]\nnode = \"n{j}\"\nsite = \"z{j}\"\npeer_addr = \"10.0.0.{j}:8081\"\n");
     }
     let sample = crate::settings::tests::SAMPLE;
     text += &sample[sample.find("[outside]").unwrap_or(0)..];
+    let text = text.replace("gpus_max = 12.0", &format!("gpus_max = {gpus}.0"));
     let operator = "idle_return_s: 20\nrefusal_pause_s: 3\n";
     parse(("test", &text), Some(("operator".into(), operator))).expect("the test settings are valid")
 }
--- a/src/node/world/tests.rs
+++ b/src/node/world/tests.rs
@@ -236,6 +236,35 @@
     assert!(reads >= 10 && f64::from(reads) <= rate / 2.0 / NODES as f64 + 2.0, "{reads} reads in a second");
 }
 
+/// Hundreds of machines, five controllers and a burst of work of all shapes; the kept sums are
+/// checked against a recount after every step, as in all runs.
+#[test]
+fn a_large_fleet_keeps_the_rules_through_a_crash_of_all_nodes() {
+    let mut w = World::of(600, 5, 300);
+    w.cloud.generous = 50;
+    for n in 0..60 {
+        let shape = ["array", "ensemble", "daemon"][n % 3];
+        let tasks = w.rng.random_range(2..if shape == "array" { 24 } else { 9 });
+        let mut body = job(n, shape, tasks);
+        body["together"] = (n % 2 == 1 && shape == "ensemble").into();
+        body["spread"] = (shape == "daemon").into();
+        body["expected_s"] = w.rng.random_range(4.0..20.0).into();
+        let at = w.rng_ms(500, 15_000);
+        w.add_user(at, body, None);
+    }
+    w.at(25_000, Event::Fault(Fault::StateOutage(true)));
+    (0..5).for_each(|i| w.at(30_000 + i as u64, Event::Fault(Fault::Crash(i))));
+    w.at(36_000, Event::Fault(Fault::StateOutage(false)));
+    w.run_until(34_000);
+    let up = w.workers.iter().filter(|m| m.up).count();
+    assert!(up > 100, "{up} machines");
+    w.run_until(110_000);
+    assert!(w.rules.broken.is_empty(), "{:?}", w.rules.broken);
+    let open = |u: &&super::User| u.body["shape"] != "daemon" && w.rules.verdict(&u.id).is_none();
+    let open: Vec<&str> = w.users.iter().filter(open).map(|u| u.id.as_str()).collect();
+    assert!(open.is_empty(), "not done: {open:?}");
+}
+
 /// Whether some seed of a few breaks a rule under `faults` and a spoilt `world`.
 fn checker_notices(spoil: impl Fn(&mut World)) -> bool {
     (300..420).any(|seed| {
--- a/src/node/world/workers.rs
+++ b/src/node/world/workers.rs
@@ -1,6 +1,6 @@
 //! A stand-in of the workers, written from the protocol alone: it reads and writes JSON.
 
-use super::{Asker, Event, Host, Input, Method, NODES, World};
+use super::{Asker, Event, Host, Input, Method, World};
 use crate::types::{MachineId, OpId};
 use crate::wire::cloud::ListedMachine;
 use rand::RngExt;
@@ -113,7 +113,7 @@
             serial: 0,
             fence: 0,
             tasks: Vec::new(),
-            node: self.rng.random_range(0..NODES),
+            node: self.rng.random_range(0..self.settings.len()),
             next_report: boots_at,
             in_flight: None,
             reports: 0,
@@ -183,9 +183,10 @@
     }
 
     fn next_node(&mut self, m: usize, pause: u64) {
+        let nodes = self.settings.len();
         let w = &mut self.workers[m];
         w.in_flight = None;
-        w.node = (w.node + 1) % NODES;
+        w.node = (w.node + 1) % nodes;
         w.next_report = self.now + pause;
     }
 
@@ -216,7 +217,7 @@
         if status != 200 {
             let master =
                 value["master"].as_str().and_then(|s| s.strip_prefix('n')).and_then(|s| s.parse().ok());
-            match master.filter(|n: &usize| status == 421 && *n < NODES && *n != node) {
+            match master.filter(|n: &usize| status == 421 && *n < self.settings.len() && *n != node) {
                 Some(n) => {
                     let w = &mut self.workers[m];
                     w.in_flight = None;
