--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Raised when messages change; a node drops what it doesn't understand.
-pub const VERSION: u16 = 4;
+pub const VERSION: u16 = 5;
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Envelope {
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -256,12 +256,26 @@
             total: m.total,
             empty: m.is_empty(),
             health,
+            fetching: self.fetching(m),
             images: m.images.iter().map(|(i, _)| i).filter(|i| asked(i)).cloned().collect(),
             fetch_gb_per_s: self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s),
             held_for: m.held_for(now).cloned(),
         }
     }
 
+    /// Images that tasks on the machine wait for.
+    fn fetching(&self, m: &Machine) -> Vec<Image> {
+        let mut images: Vec<Image> = Vec::new();
+        for (task, _) in m.entries.iter().filter(|(_, e)| e.counts() && e.running_since.is_none()) {
+            let Some(run) = self.runs.get(&task.job) else { continue };
+            let image = &run.job.spec.image;
+            if !m.has_image(image) && !images.contains(image) {
+                images.push(image.clone());
+            }
+        }
+        images
+    }
+
     /// Takes a stop wish to a task's machine; removes it at once if no order went out.
     fn stop_task(&mut self, machine: &MachineId, task: &TaskId, grace_s: f64, now: Time) {
         let Some(m) = self.machines.get_mut(machine) else { return };
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -24,6 +24,8 @@
     pub empty: bool,
     pub health: Health,
     pub images: Vec<Image>,
+    /// Images being fetched there, each for some task.
+    pub fetching: Vec<Image>,
     pub fetch_gb_per_s: f64,
     /// The job that others made room for here.
     pub held_for: Option<JobId>,
@@ -188,7 +190,12 @@
     if m.images.contains(&ask.image) || m.fetch_gb_per_s <= 0.0 {
         return 1.0;
     }
-    let fetch_s = ask.image_gb / m.fetch_gb_per_s;
+    // Fetches share the rate; one under way for another task is about half done.
+    let parts = match m.fetching.contains(&ask.image) {
+        true => 0.5 * m.fetching.len() as f64,
+        false => 1.0 + m.fetching.len() as f64,
+    };
+    let fetch_s = parts * ask.image_gb / m.fetch_gb_per_s;
     factors.fetch_half_s / (factors.fetch_half_s + fetch_s)
 }
 
@@ -269,6 +276,9 @@
     let m = &mut machines[i];
     m.free = m.free.minus(&ask.room);
     m.empty = false;
+    if !m.images.contains(&ask.image) && !m.fetching.contains(&ask.image) {
+        m.fetching.push(ask.image.clone());
+    }
     let zone = m.zone.clone();
     if ask.together {
         ask.zones.retain(|(z, _)| *z == zone);
@@ -326,6 +336,7 @@
             empty,
             health: Health::Healthy,
             images: Vec::new(),
+            fetching: Vec::new(),
             fetch_gb_per_s: 0.2,
             held_for: None,
         }
@@ -404,6 +415,31 @@
         assert!(won.count() > 90);
     }
 
+    /// Two images fetched side by side take twice as long each, one fetched for two tasks doesn't.
+    #[test]
+    fn a_machine_that_fetches_another_image_is_avoided() {
+        let mut rng = StdRng::seed_from_u64(5);
+        let mut counts = Counts::default();
+        for m in ["busy", "quiet", "same"] {
+            for _ in 0..20 {
+                counts.learn(&Learned { machine: m.into(), kind: "k".into(), success: true });
+            }
+        }
+        let mut won = |a: &str, b: &str| {
+            let rounds = (0..100).filter(|_| {
+                let mut machines = [view(a, "a", 1.0, false), view(b, "a", 1.0, false)];
+                for m in machines.iter_mut().filter(|m| m.id != "quiet".into()) {
+                    m.fetching.push(if m.id == "busy".into() { "j".into() } else { "i".into() });
+                }
+                let p = round(&mut machines, &[ask(Shape::Array, 1, false)], &counts, &FACTORS, &mut rng);
+                p[0].machine == a.into()
+            });
+            rounds.count()
+        };
+        assert!(won("quiet", "busy") > 90);
+        assert!(won("same", "quiet") > 90);
+    }
+
     /// Small tasks took piece by piece what had been cleared for a whole-machine task, so that
     /// it was cleared again and again.
     #[test]
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -192,7 +192,7 @@
             degraded_factor: 0.5,
             unknown_factor: 0.8,
             empty_factor: 0.3,
-            fetch_half_s: 5.0,
+            fetch_half_s: 1.0,
             degraded_reports: 1.6,
             unreachable_reports: 2.5,
             lost_reports: 4.0,
