A gang's tasks with their image start after the others' slow fetches

Now an image is known as soon as it is there, and such tasks are ordered to start when the slow ones have theirs. Test: a_gangs_tasks_with_their_image_start_after_the_others_fetches.

--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -57,6 +57,11 @@
     /// When the task was last seen to begin to run.
     pub running_since: Option<Time>,
     pub planned_at: Time,
+    /// Whether the task was seen to have its image.
+    pub has_image: bool,
+    /// A gang's task whose image is there already: it starts once the others have theirs, or it
+    /// would give up waiting for them after `gang_wait_s`.
+    pub after_fetches: bool,
 }
 
 impl Entry {
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -62,6 +62,8 @@
 const PREEMPT_AFTER: f64 = 0.6;
 /// Seconds of fetching that are worth stopping less urgent work where the image is.
 const IMAGE_WORTH_S: f64 = 5.0;
+/// Part of the time a gang's task waits for the others from which on their fetch is slow.
+const SLOW_FETCH: f64 = 0.4;
 /// Machines due within this count as nearly there for a gang, and how long free ones are then kept
 /// for it at a time.
 const HOLD_AHEAD: Span = Span::ms(10_000);
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -236,6 +236,14 @@
         if gang && (placements.len() < spec.tasks as usize || !run.placed().is_empty()) {
             return 0;
         }
+        // A gang's tasks give up after `gang_wait_s`; fetches of some that take that long made the rest
+        // give up, and the whole gang fetch again elsewhere.
+        let slow_fetch = gang
+            && placements.iter().filter_map(|(_, id)| self.machines.get(id)).any(|m| {
+                let rate = self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s);
+                let fetch_s = if rate > 0.0 { spec.image_gb / rate } else { 0.0 };
+                !m.has_image(&spec.image) && fetch_s > self.settings.workers.gang_wait_s * SLOW_FETCH
+            });
         let attempt = self.attempts.issue();
         let mut placed = Vec::new();
         for (index, machine) in placements {
@@ -258,6 +266,8 @@
                     stop: None,
                     running_since: None,
                     planned_at: now,
+                    has_image: false,
+                    after_fetches: slow_fetch && m.has_image(&spec.image),
                 },
             );
             self.dirty.insert(machine.clone());
--- a/src/node/master/stock.rs
+++ b/src/node/master/stock.rs
@@ -33,6 +33,8 @@
                 stop: None,
                 running_since: None,
                 planned_at: now,
+                has_image: false,
+                after_fetches: false,
             });
         }
         m.recount(&mut self.used, now);
@@ -175,12 +177,17 @@
         for task in digest.began {
             tracing::debug!(%task, %machine, "runs");
             self.touch(&task.job);
+        }
+        for task in digest.fetched {
             let Some(run) = self.runs.get(&task.job) else { continue };
             let spec = &run.job.spec;
             if let Some(m) = self.machines.get_mut(machine) {
                 let cache_gb = self.market.type_of(&m.type_name).map_or(0.0, |t| t.cache_gb);
                 m.remember_image(&spec.image, spec.image_gb, cache_gb);
             }
+            if run.is_gang() {
+                self.start_after_fetches(&task.job);
+            }
         }
         for (task, _) in digest.done {
             self.touch(&task.job);
@@ -192,6 +199,30 @@
         }
     }
 
+    /// Once all tasks of a gang that had to fetch have their image, the others start too.
+    fn start_after_fetches(&mut self, job: &JobId) {
+        let Some(run) = self.runs.get(job) else { return };
+        let entry = |machines: &BTreeMap<MachineId, Machine>, index: u32, id: &MachineId| {
+            let task = TaskId { job: job.clone(), index };
+            machines.get(id).and_then(|m| m.entries.get(&task)).map(|e| (e.has_image, e.after_fetches))
+        };
+        let tasks: Vec<(u32, MachineId)> = run.placed().iter().map(|(i, m)| (*i, m.clone())).collect();
+        let state: Vec<Option<(bool, bool)>> =
+            tasks.iter().map(|(i, m)| entry(&self.machines, *i, m)).collect();
+        if state.iter().flatten().any(|(has_image, after)| !has_image && !after) {
+            return;
+        }
+        for ((index, id), state) in tasks.into_iter().zip(state) {
+            let task = TaskId { job: job.clone(), index };
+            if state.is_some_and(|(_, after)| after)
+                && let Some(e) = self.machines.get_mut(&id).and_then(|m| m.entries.get_mut(&task))
+            {
+                e.after_fetches = false;
+                self.to_direct.insert(id);
+            }
+        }
+    }
+
     /// A worker reports a task as done: records it, then lets go.
     pub(super) fn task_done(&mut self, machine: &MachineId, task: &TaskId, now: Time) {
         let Some(run) = self.runs.get_mut(&task.job) else {
@@ -394,4 +425,43 @@
             assert_eq!(run.placed().get(&0), Some(&MachineId::from(live)), "it is still on {live}");
         }
     }
+
+    /// One slow fetch made the other tasks of a gang give up, again and again (andina apart).
+    #[test]
+    fn a_gangs_tasks_with_their_image_start_after_the_others_fetches() {
+        let (mut m, now) = (master(), Time::from_ms(1));
+        let mut spec = jobs::tests::spec();
+        (spec.shape, spec.tasks) = (Shape::Gang, 2);
+        let job = Arc::new(jobs::OpenJob { spec, submitted: crate::types::Wall(1), home: "n0".into() });
+        m.runs.insert("req-1".into(), Run::new(job, now));
+        for (i, after_fetches) in [(0, true), (1, false)] {
+            let id = format!("m-{i}");
+            m.take_report(&report(&id, "z0", 1), now);
+            let id = MachineId::from(id.as_str());
+            let task = TaskId { job: "req-1".into(), index: i };
+            let entry = Entry {
+                attempt: Attempt(7),
+                team: "red".into(),
+                room: Room::default(),
+                state: EntryState::Ready,
+                stop: None,
+                running_since: None,
+                planned_at: now,
+                has_image: false,
+                after_fetches,
+            };
+            m.machines.get_mut(&id).expect("there").entries.insert(task, entry);
+            m.runs.get_mut(&JobId::from("req-1")).expect("there").place(i, id);
+        }
+        let starts = |m: &mut Master, id: &str| {
+            m.machines.get_mut(&MachineId::from(id)).expect("there").direct_orders(true).1.len()
+        };
+        assert_eq!((starts(&mut m, "m-0"), starts(&mut m, "m-1")), (0, 1));
+        let waiting = r#"{"host":"m-1","addr":"10.9.0.1:1","flavor":"t","region":"z0","preemptible":false,
+            "tenure":1,"serial":2,"fence":9,"shards":[{"shard":"req-1/1","try":7,"phase":"waiting"}]}"#;
+        m.take_report(&serde_json::from_str(waiting).expect("valid"), now);
+        assert!(m.to_direct.contains(&MachineId::from("m-0")));
+        assert_eq!(starts(&mut m, "m-0"), 1);
+        assert!(m.machines[&MachineId::from("m-1")].has_image(&"i".into()));
+    }
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -95,6 +95,8 @@
     pub gone: Vec<(TaskId, Entry, Outcome)>,
     /// Tasks that are done; their entries stay until that is recorded.
     pub done: Vec<(TaskId, Attempt)>,
+    /// Tasks that have their image now.
+    pub fetched: Vec<TaskId>,
     /// Tasks that began to run.
     pub began: Vec<TaskId>,
     /// Whether it was an old report, which says nothing.
@@ -336,6 +338,7 @@
                 break;
             }
             match (entry.state, entry.stop) {
+                (EntryState::Ready, None) if entry.after_fetches => {}
                 (EntryState::Ready | EntryState::Sent { .. }, None) if may_start => {
                     orders.push(Order::Start { task: task.clone(), attempt: entry.attempt });
                     let serial = match self.doubtful.contains_key(&(task.clone(), entry.attempt)) {
@@ -373,7 +376,7 @@
         for (task, entry) in &mut self.entries {
             let attempt = entry.attempt;
             match (entry.state, &mut entry.stop) {
-                (EntryState::Ready, None) if may_start => {
+                (EntryState::Ready, None) if may_start && !entry.after_fetches => {
                     entry.state = EntryState::Direct;
                     orders.push(Order::Start { task: task.clone(), attempt });
                     starts.push((task.clone(), attempt));
@@ -424,11 +427,17 @@
     digest: &mut Digest,
 ) -> Option<Outcome> {
     match reported.phase {
-        TaskPhase::Fetching | TaskPhase::Waiting | TaskPhase::Other => {
+        TaskPhase::Fetching | TaskPhase::Other => {
+            entry.state = EntryState::Preparing;
+            None
+        }
+        TaskPhase::Waiting => {
+            fetched(entry, task, digest);
             entry.state = EntryState::Preparing;
             None
         }
         TaskPhase::Running => {
+            fetched(entry, task, digest);
             if entry.running_since.is_none() {
                 entry.running_since = Some(now);
                 digest.began.push(task.clone());
@@ -458,6 +467,13 @@
     }
 }
 
+fn fetched(entry: &mut Entry, task: &TaskId, digest: &mut Digest) {
+    if !entry.has_image {
+        entry.has_image = true;
+        digest.fetched.push(task.clone());
+    }
+}
+
 /// A task that a report does not list: gone if the report is newer than every order for it.
 fn absent(entry: &mut Entry, report: &Report, mine: Fence) -> Option<Outcome> {
     match entry.state {
@@ -498,6 +514,8 @@
             stop: None,
             running_since: None,
             planned_at: Time::default(),
+            has_image: false,
+            after_fetches: false,
         };
         m.entries.insert(task.clone(), entry);
         (m, task)
