--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -62,8 +62,6 @@
 const PREEMPT_AFTER: f64 = 0.6;
 /// Seconds of fetching that are worth stopping less urgent work where the image is.
 const IMAGE_WORTH_S: f64 = 5.0;
-/// Part of a fetch's time that an array's tasks wait for a place where their image is.
-const IMAGE_WAIT: f64 = 0.4;
 /// Part of the time a gang's task waits for the others from which on their fetch is slow.
 const SLOW_FETCH: f64 = 0.4;
 /// Machines due within this count as nearly there for a gang, and how long free ones are then kept
@@ -149,8 +147,6 @@
     /// Moves on with everything that may let a waiting task fit.
     room_version: u64,
     learned: Vec<Learned>,
-    /// Per image, arrays' tasks that run on machines which have it: places that will come free.
-    holders: BTreeMap<Image, u32>,
     /// Beats sent so far, and jobs that have moved since the last one.
     beats: u64,
     touched: BTreeSet<JobId>,
@@ -344,7 +340,6 @@
             next_round: 0,
             room_version: 1,
             learned: Vec::new(),
-            holders: BTreeMap::new(),
             beats: 0,
             touched: BTreeSet::new(),
             next_offers: now,
@@ -775,7 +770,6 @@
             // Machines' health and pauses change with time alone.
             master.next_retry = now + Span::ms(2000);
             master.room_version += 1;
-            master.count_holders();
         }
         master.tombs.retain(|_, at| now.since(*at) < TOMB_LIFE);
         let peers_hear = self.peers.values().any(|p| p.hears_workers && now.since(p.heard) < PEER_SILENCE);
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -127,11 +127,8 @@
             if self.offers.contains_key(&home) {
                 continue;
             }
-            if ask.shape != Shape::Gang {
-                let kept = match ask.shape {
-                    Shape::Service => self.keep_for_image(&ask, &views, &mut scans, now),
-                    _ => self.wait_for_image(&ask, &views, now),
-                } as usize;
+            if ask.shape == Shape::Service {
+                let kept = self.keep_for_image(&ask, &views, &mut scans, now) as usize;
                 ask.tasks.truncate(ask.tasks.len() - kept.min(ask.tasks.len()));
                 if ask.tasks.is_empty() {
                     continue;
@@ -455,49 +452,6 @@
         }
     }
 
-    pub(super) fn count_holders(&mut self) {
-        self.holders.clear();
-        for m in self.machines.values().filter(|m| m.standing == Standing::Up) {
-            let runs = m.entries.iter().filter(|(_, e)| e.is_running() && e.stop.is_none());
-            let of_arrays = runs.filter(|(task, _)| {
-                self.runs.get(&task.job).is_some_and(|r| r.job.spec.shape == Shape::Array)
-            });
-            let places = of_arrays.count() as u32;
-            for (image, _) in m.images.iter().filter(|_| places > 0) {
-                match self.holders.get_mut(image) {
-                    Some(n) => *n += places,
-                    None => {
-                        self.holders.insert(image.clone(), places);
-                    }
-                }
-            }
-        }
-    }
-
-    /// How many of an array's tasks should rather wait a little than fetch their image: where it is,
-    /// other arrays' tasks end all the time, and a fetch wastes the place meanwhile.
-    fn wait_for_image(&self, ask: &TaskAsk, views: &[MachineView], now: Time) -> u32 {
-        let Some(run) = self.runs.get(&ask.job) else { return 0 };
-        // Places with the image missing are mostly on the machines that fetch slowest.
-        let rate = self.market.types.iter().map(|t| t.fetch_gb_per_s).fold(f64::MAX, f64::min);
-        let run_s = run.job.spec.estimate.as_secs();
-        if rate <= 0.0 || run_s <= 0.0 {
-            return 0;
-        }
-        let wait_s = ask.image_gb / rate * IMAGE_WAIT;
-        if now.since(run.seen).as_secs() > wait_s {
-            return 0;
-        }
-        let holders = self.holders.get(&ask.image).copied().unwrap_or(0);
-        let ready: u32 = views
-            .iter()
-            .filter(|v| ask.allows(v) && v.images.contains(&ask.image))
-            .map(|v| v.free.count_of(&ask.room))
-            .sum();
-        let come_free = (f64::from(holders) * (wait_s / run_s).min(1.0)) as u32;
-        (ask.tasks.len() as u32).saturating_sub(ready).min(come_free)
-    }
-
     /// Replicas that should rather wait for room where their image is than be fetched elsewhere:
     /// a fetch takes longer than less urgent work needs to leave. Gives how many wait now.
     fn keep_for_image(&mut self, ask: &TaskAsk, views: &[MachineView], scans: &mut usize, now: Time) -> u32 {
