--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -1,5 +1,6 @@
 //! What the leader does on top: loads all records, takes reports, runs rounds, commits, rents.
 
+mod room;
 mod rounds;
 mod stock;
 mod upkeep;
--- /dev/null
+++ b/src/node/master/room.rs
@@ -0,0 +1,237 @@
+//! Room for work that fits nowhere: who makes way, and what is kept for whom.
+
+use super::*;
+
+/// Whose work is stopped.
+#[derive(Clone, Copy)]
+enum Clear<'a> {
+    /// Less urgent work.
+    Lower,
+    /// Less urgent work on machines that have the image, without waiting for saves.
+    WithImage,
+    /// Other teams' work beyond their guarantee: all but these jobs.
+    Beyond(&'a BTreeSet<JobId>),
+}
+
+impl Master {
+    /// Makes room for a job that fits nowhere, if its rank allows that: all its tasks' if it is a
+    /// gang. Tells whether the fleet was searched for it.
+    pub(super) fn preempt(&mut self, ask: &TaskAsk, now: Time) -> bool {
+        let guaranteed = self.guaranteed();
+        let Some(run) = self.runs.get_mut(&ask.job) else { return false };
+        let spec = run.job.spec.clone();
+        if run.making_room_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        let mine = guaranteed.contains(&ask.job);
+        // Room that comes free by itself loses nothing. Replicas don't wait for it.
+        let patience = self.settings.wait_objective(&spec.kind, mine).map_or(0.0, |s| s * PREEMPT_AFTER);
+        if spec.shape != Shape::Service && now.since(run.seen) < Span::secs(patience) {
+            return false;
+        }
+        run.making_room_until = Some(now + PREEMPT_AGAIN);
+        // Less urgent work makes way for all tasks at once. Work beyond its team's guarantee makes
+        // way for one at a time, and not whole gangs: with many teams near their guarantees they
+        // would otherwise stop one another in turn.
+        let one = ask.tasks.len() == 1 || ask.shape != Shape::Gang;
+        // A gang of several would put off more work than it is: while less urgent work waits for room
+        // itself, that only passes the wait on.
+        let several = ask.shape == Shape::Gang && ask.tasks.len() > 1;
+        if several && self.crowded(spec.priority) {
+            return true;
+        }
+        if self.clear_for(ask, &spec, Clear::Lower, now) == 0 && mine && one {
+            self.clear_for(ask, &spec, Clear::Beyond(&guaranteed), now);
+        }
+        true
+    }
+
+    /// Keeps free machines for a gang that fits as soon as others on their way are up: small tasks
+    /// took those rented for it one by one as they came.
+    pub(super) fn hold_for_gang(&mut self, ask: &TaskAsk, views: &mut [MachineView], now: Time) {
+        // Worth idle machines only where the next one could not be up in time.
+        let within_s = self.settings.wait_objective(&ask.kind, false).unwrap_or(f64::MAX);
+        if self.market.types.iter().all(|t| t.boot_s <= within_s) {
+            return;
+        }
+        let need = ask.tasks.len() as u32;
+        let mut zones: BTreeMap<Zone, (u32, u32)> = BTreeMap::new();
+        for v in views.iter().filter(|v| ask.allows(v)) {
+            zones.entry(v.zone.clone()).or_default().0 += v.free.count_of(&ask.room);
+        }
+        for m in self.machines.values().filter(|m| m.standing == Standing::Booting) {
+            let boot = self.market.type_of(&m.type_name).map(MachineType::boot).unwrap_or_default();
+            // One that is long overdue may never come.
+            let due = m.rented_at + boot;
+            let fits = now + HOLD_AHEAD >= due
+                && now < due + HOLD_AHEAD
+                && ask.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
+                && (ask.spot || !m.spot)
+                && ask.zones.iter().any(|(z, n)| *z == m.zone && *n > 0);
+            if fits {
+                zones.entry(m.zone.clone()).or_default().1 += m.total.count_of(&ask.room);
+            }
+        }
+        let enough = |(free, soon): &(u32, u32)| *free > 0 && free + soon >= need;
+        let chosen: Vec<Zone> = if ask.together {
+            let best = zones.iter().filter(|(_, n)| enough(n)).max_by_key(|(_, n)| n.0);
+            best.map(|(z, _)| z.clone()).into_iter().collect()
+        } else {
+            let sum = zones.values().fold((0, 0), |a, n| (a.0 + n.0, a.1 + n.1));
+            if enough(&sum) { zones.into_keys().collect() } else { Vec::new() }
+        };
+        let mut left = need;
+        for v in views.iter_mut().filter(|v| chosen.contains(&v.zone)) {
+            if left == 0 {
+                break;
+            }
+            if ask.allows(v) {
+                left = left.saturating_sub(v.free.count_of(&ask.room));
+                v.held_for = Some(ask.job.clone());
+                if let Some(m) = self.machines.get_mut(&v.id) {
+                    m.held = Some((ask.job.clone(), now + HOLD_FOR));
+                }
+            }
+        }
+    }
+
+    /// Replicas that should rather wait for room where their image is than be fetched elsewhere:
+    /// a fetch takes longer than less urgent work needs to leave. Gives how many wait now.
+    pub(super) fn keep_for_image(
+        &mut self,
+        ask: &TaskAsk,
+        views: &[MachineView],
+        scans: &mut usize,
+        now: Time,
+    ) -> u32 {
+        let tasks = ask.tasks.len() as u32;
+        let ready: u32 = views
+            .iter()
+            .filter(|v| ask.allows(v) && v.images.contains(&ask.image))
+            .map(|v| v.free.count_of(&ask.room))
+            .sum();
+        let Some(run) = self.runs.get_mut(&ask.job) else { return 0 };
+        if run.making_room_until.is_none_or(|until| now >= until) {
+            run.promised = 0;
+        }
+        let fetch_rate = self.market.types.iter().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
+        let worth_it = fetch_rate > 0.0 && ask.image_gb / fetch_rate > IMAGE_WORTH_S;
+        if run.promised == 0 && ready < tasks && worth_it && *scans > 0 && run.making_room_until.is_none() {
+            *scans -= 1;
+            let spec = run.job.spec.clone();
+            let mut missing = ask.clone();
+            missing.tasks.truncate((tasks - ready) as usize);
+            let made = self.clear_for(&missing, &spec, Clear::WithImage, now);
+            if let Some(run) = self.runs.get_mut(&ask.job) {
+                run.promised = made;
+                if made == 0 {
+                    run.making_room_until = Some(now + PREEMPT_AGAIN);
+                }
+            }
+        }
+        let promised = self.runs.get(&ask.job).map_or(0, |r| r.promised);
+        promised.saturating_sub(ready).min(tasks)
+    }
+
+    /// Whether so much work below `priority` waits that what was stopped would wait long.
+    fn crowded(&self, priority: Priority) -> bool {
+        let lower = self.runs.values().filter(|r| r.job.spec.priority < priority);
+        let (waiting, placed) =
+            lower.fold((0, 0), |(w, p), r| (w + r.waiting_count() as usize, p + r.placed().len()));
+        waiting as f64 > placed as f64 * CROWDED
+    }
+
+    /// Stops what loses least so that `ask` fits; gives the number of machines where that makes room.
+    fn clear_for(&mut self, ask: &TaskAsk, spec: &JobSpec, how: Clear, now: Time) -> u32 {
+        let mut candidates = Vec::new();
+        for m in self.machines.values() {
+            let may = m.open_for_tasks(now)
+                && m.held_for(now).is_none_or(|j| *j == ask.job)
+                && self.health(m, now) == Health::Healthy
+                && ask.types.as_ref().is_none_or(|t| t.contains(&m.type_name))
+                && (ask.spot || !m.spot)
+                && ask.room.fits_in(&m.total)
+                && ask.zones.iter().any(|(z, n)| *z == m.zone && *n > 0);
+            if !may || (matches!(how, Clear::WithImage) && !m.has_image(&ask.image)) {
+                continue;
+            }
+            let (mut free, mut victims) = (m.free(), Vec::new());
+            for (task, entry) in m.entries.iter().filter(|(_, e)| e.counts()) {
+                if entry.stop.is_some() {
+                    free = free.plus(&entry.room); // leaves already
+                    continue;
+                }
+                let Some(other) = self.runs.get(&task.job) else { continue };
+                let o = &other.job.spec;
+                let may_stop = match how {
+                    Clear::Lower => o.priority < spec.priority,
+                    // At once: no whole gangs, and no wait for a save below.
+                    Clear::WithImage => o.priority < spec.priority && !(other.is_gang() && o.tasks > 1),
+                    Clear::Beyond(kept) => {
+                        o.team != spec.team && !kept.contains(&task.job) && !(other.is_gang() && o.tasks > 1)
+                    }
+                };
+                if o.shape == Shape::Service || !may_stop {
+                    continue;
+                }
+                let ran = entry.running_since.map_or(0.0, |at| now.since(at).as_secs());
+                // Work since the last checkpoint, and a new start.
+                let again = if o.checkpoint.0 > 0 { o.save.as_secs() } else { ran };
+                let loss_s = again + RESTART_S;
+                // With one task of a gang all of it stops.
+                let loss_s = if other.is_gang() { loss_s * f64::from(o.tasks) } else { loss_s };
+                victims.push(Victim { task: task.clone(), room: entry.room, loss_s });
+            }
+            let fetch_rate = self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s);
+            let fetch_s = match m.has_image(&ask.image) || fetch_rate <= 0.0 {
+                true => 0.0,
+                false => ask.image_gb / fetch_rate,
+            };
+            let (machine, zone) = (m.id.clone(), m.zone.clone());
+            candidates.push(Candidate { machine, zone, free, victims, fetch_s });
+        }
+        let wanted = preemption::Wanted {
+            room: &ask.room,
+            tasks: if matches!(how, Clear::Beyond(_)) { 1 } else { ask.tasks.len() as u32 },
+            gang: ask.shape == Shape::Gang,
+            together: ask.together,
+            zones: &ask.zones,
+        };
+        let clearings = preemption::choose(candidates, &wanted);
+        if clearings.iter().all(|(_, tasks)| tasks.is_empty()) {
+            return 0;
+        }
+        let stopped: usize = clearings.iter().map(|(_, tasks)| tasks.len()).sum();
+        tracing::info!(job = %ask.job, machines = clearings.len(), stopped, "preempts");
+        let mut longest = 0.0f64;
+        for (machine, task) in clearings.iter().flat_map(|(m, tasks)| tasks.iter().map(move |t| (m, t))) {
+            let Some(other) = self.runs.get(&task.job) else { continue };
+            let grace = match how {
+                Clear::WithImage => 0.0,
+                _ => gangs::save_grace_s(&other.job.spec),
+            };
+            longest = longest.max(grace);
+            if other.is_gang() {
+                self.stop_job(&task.job, grace, now);
+            } else {
+                self.stop_task(machine, task, grace, now);
+            }
+        }
+        let until = now + PREEMPT_PAUSE + Span::secs(longest);
+        // Room that several have to leave, or that lies on several machines, comes piece by piece:
+        // held, or small tasks would take each piece. A single place may go to whoever ranks first.
+        for (machine, tasks) in &clearings {
+            let image = matches!(how, Clear::WithImage);
+            if (image || wanted.gang && wanted.tasks > 1 || tasks.len() > 1)
+                && let Some(m) = self.machines.get_mut(machine)
+            {
+                m.held = Some((ask.job.clone(), until));
+            }
+        }
+        if let Some(run) = self.runs.get_mut(&ask.job) {
+            run.making_room_until = Some(until);
+            run.why = "others are making room for it";
+        }
+        clearings.len() as u32
+    }
+}
