--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -12,10 +12,7 @@
         guaranteed: &BTreeSet<JobId>,
     ) -> (Reverse<Priority>, bool, u64) {
         let spec = &run.job.spec;
-        // Among equals whoever must start first to be done by its deadline; without one, who came
-        // first.
-        let slack = spec.deadline.map_or(0, |d| d.0.saturating_sub(spec.estimate.0));
-        (Reverse(spec.priority), !guaranteed.contains(id), run.job.submitted.0 + slack)
+        (Reverse(spec.priority), !guaranteed.contains(id), run.job.submitted.0)
     }
 
     /// Jobs within their team's guarantee, alongside the team's earlier unfinished jobs.
