Dependent jobs, limits to come and levels of versions: built to run beside the version before

Jobs may name others (awaits); who waits for whom follows from the records alone (jobs::graph). Dependent jobs are stored under a name of their own, and only once every configured node is durably known to understand them (compat). Values and transactions keep to the stricter of the present and next limits (store::Limits); machine records give up images first. A commit refused for good no longer ends the tenure.

--- a/src/jobs/desk.rs
+++ b/src/jobs/desk.rs
@@ -1,6 +1,6 @@
 //! The desk: users' requests that wait for the state service.
 
-use super::JobSpec;
+use super::{JobSpec, Never};
 use crate::types::{JobId, OpId, Span, Time};
 
 /// What a user asked for.
@@ -21,6 +21,12 @@
     pub why: String,
 }
 
+impl From<Never> for Refusal {
+    fn from(never: Never) -> Self {
+        Self { status: 422, why: never.to_string() }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Waiting {
     pub request: OpId,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs: what users asked for, the durable record of each, and every node's mirror of them.
 
 mod desk;
+mod graph;
 mod run;
 
 pub use desk::{Ask, Desk, Refusal, Waiting};
@@ -10,6 +11,7 @@
 use crate::types::{Image, JobId, Kind, NodeName, Room, Span, Stamp, TeamName, TypeName, Wall, Zone};
 use crate::wire::cloud::MachineType;
 use crate::wire::state::{Event, Pair};
+use graph::Graph;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -60,6 +62,9 @@
     pub checkpoint: Span,
     pub save: Span,
     pub deadline: Option<Span>,
+    /// Jobs that have to be done before any of its tasks starts, each once.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub needs: Vec<JobId>,
 }
 
 /// Why a job can never run.
@@ -71,6 +76,16 @@
     FitsNowhere,
     #[error("the job needs more than the limit of its team `{0}`; ask for less")]
     OverLimit(TeamName),
+    #[error("awaits: `{0}` was never accepted; name jobs only once they are")]
+    NeedsUnknown(JobId),
+    #[error("awaits: `{0}` is a service, which is never done")]
+    NeedsService(JobId),
+    #[error("awaits: a job can't wait for itself")]
+    NeedsItself,
+    #[error(
+        "the job's record takes {bytes} bytes and the state service stores {limit}; shorten `awaits` or `flavors`"
+    )]
+    TooLarge { bytes: usize, limit: usize },
 }
 
 impl JobSpec {
@@ -116,9 +131,13 @@
 }
 
 /// The durable record of a job. A terminal job shrinks to its verdict, and never changes again.
+///
+/// A job that needs others is stored as `dependent`, so that a version that doesn't know
+/// dependencies skips the record rather than runs the job too early.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Record {
+    #[serde(alias = "dependent")]
     Open(Arc<OpenJob>),
     Done,
     Withdrawn,
@@ -126,7 +145,17 @@
 
 impl Record {
     pub fn to_value(&self) -> String {
-        serde_json::to_string(self).unwrap_or_default()
+        #[derive(Serialize)]
+        struct Dependent<'a> {
+            dependent: &'a OpenJob,
+        }
+        match self {
+            Record::Open(job) if !job.spec.needs.is_empty() => {
+                serde_json::to_string(&Dependent { dependent: job })
+            }
+            _ => serde_json::to_string(self),
+        }
+        .unwrap_or_default()
     }
     pub fn is_open(&self) -> bool {
         matches!(self, Record::Open(_))
@@ -166,7 +195,10 @@
     jobs: BTreeMap<JobId, Known>,
     /// All changes up to this revision are in `jobs`; `None` until the first full read is over.
     epoch: Option<u64>,
-    /// Ids whose records changed since the last `take_changed`.
+    /// Who waits for whom, kept in line with `jobs`.
+    graph: Graph,
+    /// Ids whose records changed since the last `take_changed`, or for whom others' records change
+    /// something: free to run, withdrawn, or of another priority.
     changed: Vec<JobId>,
 }
 
@@ -174,6 +206,25 @@
     pub fn get(&self, id: &JobId) -> Option<&Known> {
         self.jobs.get(id)
     }
+    /// The job's final phase, if it has one: its record's, or withdrawn with one that it needs. That
+    /// is as final as the record it follows from.
+    pub fn verdict(&self, id: &JobId) -> Option<Phase> {
+        let known = self.jobs.get(id)?;
+        known.record.terminal().or_else(|| self.graph.doomed(id).then_some(Phase::Withdrawn))
+    }
+    /// Whether tasks of the job may run: it is open, and all that it needs is durably done.
+    pub fn ready(&self, id: &JobId) -> bool {
+        self.jobs.get(id).is_some_and(|k| k.record.is_open()) && !self.graph.waits(id)
+    }
+    /// The priority of an open job: its own, or a higher one of a job that needs it.
+    pub fn priority(&self, id: &JobId) -> Priority {
+        let own = self.jobs.get(id).and_then(|k| k.record.open()).map_or(Priority::Low, |j| j.spec.priority);
+        self.graph.priority(id, own)
+    }
+    /// Who waits for whom.
+    pub fn graph(&self) -> &Graph {
+        &self.graph
+    }
     pub fn len(&self) -> usize {
         self.jobs.len()
     }
@@ -204,7 +255,15 @@
             // A terminal verdict is final: no late answer may reopen it.
             Some(known) if known.stamp >= stamp || !known.record.is_open() => {}
             _ => {
+                let jobs = &self.jobs;
+                let verdict = |id: &JobId| jobs.get(id).and_then(|k| k.record.terminal());
+                let affected = match (&record, record.terminal()) {
+                    (Record::Open(job), _) => self.graph.opened(&id, &job.spec, verdict),
+                    (_, Some(phase)) => self.graph.over(&id, phase),
+                    _ => Vec::new(),
+                };
                 self.changed.push(id.clone());
+                self.changed.extend(affected);
                 self.jobs.insert(id, Known { stamp, record });
             }
         }
@@ -253,6 +312,7 @@
             checkpoint: Span::ms(0),
             save: Span::ms(0),
             deadline: None,
+            needs: Vec::new(),
         }
     }
 
--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -1,6 +1,6 @@
 //! A job as its leader sees it: which tasks are done, which are placed, which wait.
 
-use super::{OpenJob, Shape};
+use super::{OpenJob, Priority, Shape};
 use crate::types::{Attempt, MachineId, NodeName, Time};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -55,6 +55,8 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub job: Arc<OpenJob>,
+    /// Its own priority, or a higher one of a job that needs it.
+    pub priority: Priority,
     done: Bits,
     /// Where the ledger has a task that isn't proved gone.
     placed: BTreeMap<u32, MachineId>,
@@ -89,6 +91,7 @@
         Self {
             home: job.home.clone(),
             open: job.spec.tasks,
+            priority: job.spec.priority,
             job,
             done: Bits::default(),
             placed: BTreeMap::new(),
--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -42,6 +42,8 @@
     batches: u64,
     next_version: u64,
     max_ops: usize,
+    /// Transactions that are to hold one change each: one of these is refused for good.
+    singly: usize,
 }
 
 /// Most that a transaction may hold, with room for its frame.
@@ -59,6 +61,7 @@
             batches: 0,
             next_version: 1,
             max_ops: max_ops.max(1),
+            singly: 0,
         }
     }
 
@@ -132,7 +135,8 @@
             versions: Vec::new(),
         };
         let mut bytes = 0;
-        while batch.changes.len() < self.max_ops {
+        let max_ops = if self.singly > 0 { 1 } else { self.max_ops };
+        while batch.changes.len() < max_ops {
             let next = match self.urgent.pop_front() {
                 None if rest => self.dirty.pop_front(),
                 urgent => urgent,
@@ -164,6 +168,7 @@
 
     pub fn committed(&mut self, epoch: u64) -> Settled {
         let keys = self.in_flight.take().unwrap_or_default();
+        self.singly = self.singly.saturating_sub(1);
         for (key, version) in &keys {
             let Some(doc) = self.docs.get_mut(key) else { continue };
             doc.saved = *version;
@@ -182,6 +187,24 @@
         }
     }
 
+    /// The transaction was refused for good. Its changes are tried again one by one; one that is refused
+    /// alone is given up, and told with its size. The key's stored value stays known.
+    pub fn refused(&mut self) -> Option<(String, usize)> {
+        let keys = self.in_flight.take().unwrap_or_default();
+        if keys.len() != 1 {
+            self.singly = keys.len();
+            self.in_flight = Some(keys);
+            self.failed();
+            return None;
+        }
+        let (key, version) = keys.into_iter().next()?;
+        self.singly = self.singly.saturating_sub(1);
+        let doc = self.docs.get_mut(&key)?;
+        doc.saved = version;
+        let bytes = doc.value.as_ref().map_or(0, String::len);
+        Some((key, bytes))
+    }
+
     /// What a key turned out to be after a conflict.
     pub fn corrected(&mut self, key: &str, stamp: Stamp) {
         if let Some(doc) = self.docs.get_mut(key) {
@@ -223,4 +246,30 @@
         assert_eq!(batch.conditions[1].1, Stamp(10));
         assert_eq!(j.committed(11).keys, [("m/a".to_string(), v2)]);
     }
+
+    /// A refused value ended the tenure, and the next leader met the same one.
+    #[test]
+    fn a_change_refused_for_good_is_given_up_and_those_beside_it_are_written() {
+        let mut j = Journal::new("leader", Fence(9), 4);
+        j.loaded("m/b", Stamp(3));
+        for key in ["m/a", "m/b", "m/c"] {
+            j.put(key, Some("12345".into()), true);
+        }
+        let mut written = Vec::new();
+        let mut given_up = Vec::new();
+        for _ in 0..10 {
+            let Some(batch) = j.next_batch(true) else { break };
+            let keys: Vec<&str> = batch.changes.iter().map(Change::key).collect();
+            if keys.contains(&"m/b") {
+                given_up.extend(j.refused());
+            } else {
+                written.extend(keys.iter().map(|k| k.to_string()));
+                j.committed(10);
+            }
+        }
+        assert_eq!((written, given_up), (vec!["m/a".into(), "m/c".into()], vec![("m/b".into(), 5)]));
+        assert_eq!(j.stamp("m/b"), Stamp(3), "its stored value is still known");
+        j.put("m/b", Some("1".into()), true);
+        assert!(j.next_batch(true).is_some_and(|b| b.changes.len() == 1), "and it may be written later");
+    }
 }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -62,9 +62,34 @@
     /// A gang's task whose image is there already: it starts once the others have theirs, or it
     /// would give up waiting for them after `gang_wait_s`.
     pub after_fetches: bool,
+    /// What it takes in its machine's record.
+    pub bytes: usize,
 }
 
 impl Entry {
+    pub fn new(
+        task: &TaskId,
+        attempt: Attempt,
+        team: TeamName,
+        room: Room,
+        state: EntryState,
+        now: Time,
+    ) -> Self {
+        let bytes = entry_bytes(task, attempt, &team, &room);
+        Self {
+            attempt,
+            team,
+            room,
+            state,
+            stop: None,
+            running_since: None,
+            planned_at: now,
+            has_image: false,
+            after_fetches: false,
+            bytes,
+        }
+    }
+
     /// Whether the task may be on the machine.
     pub fn counts(&self) -> bool {
         self.state != EntryState::Done
@@ -100,6 +125,40 @@
     pub images: Vec<(Image, f64)>,
 }
 
+/// A machine's record without entries, images and the names of its type and zone, at the most.
+const FRAME_BYTES: usize = 120;
+
+/// What a task's entry takes in its machine's record.
+pub fn entry_bytes(task: &TaskId, attempt: Attempt, team: &TeamName, room: &Room) -> usize {
+    serde_json::to_string(&(task, attempt, team, room)).map_or(usize::MAX / 1024, |t| t.len() + 1)
+}
+
+impl MachineRecord {
+    /// The record as it is stored, within `limit` bytes: images are given up first, those used longest
+    /// ago before others. `None` if its entries alone take more: what is stored already then names
+    /// them all, since nothing is placed beyond what can be stored, and stays until some have left.
+    pub fn to_value(&self, limit: usize) -> Option<String> {
+        let mut value = serde_json::to_string(self).ok()?;
+        if value.len() <= limit {
+            return Some(value);
+        }
+        let mut fitting = self.clone();
+        while value.len() > limit {
+            if fitting.images.is_empty() {
+                return None;
+            }
+            fitting.images.remove(0);
+            value = serde_json::to_string(&fitting).ok()?;
+        }
+        Some(value)
+    }
+
+    /// Whether the record of a machine of this type and zone can hold entries that take `bytes`.
+    pub fn holds(bytes: usize, type_name: &TypeName, zone: &Zone, limit: usize) -> bool {
+        bytes + FRAME_BYTES + type_name.as_str().len() + zone.as_str().len() <= limit
+    }
+}
+
 pub fn key(id: &MachineId) -> String {
     format!("{PREFIX}{id}")
 }
@@ -132,3 +191,41 @@
     let ok = |max: Option<f64>, used: f64, more: f64| max.is_none_or(|m| used + more <= m + 1e-6);
     ok(team.max_gpus, used.gpus, more.gpus) && ok(team.max_cpus, used.cpus, more.cpus)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The state service's next limit is an eighth of the present one; a machine full of small tasks
+    /// would no longer be written, and starts there never become durable.
+    #[test]
+    fn a_record_gives_up_images_first_and_never_an_entry() {
+        let task = |index| TaskId { job: "req-000412".into(), index };
+        let room = Room { cpus: 1.0, gpus: 0.0, memory_gb: 6.4 };
+        let mut record = MachineRecord {
+            type_name: "andesite".into(),
+            zone: "columbia".into(),
+            spot: false,
+            addr: Some("255.255.255.255:65535".into()),
+            session: Session(u64::from(u32::MAX)),
+            entries: Vec::new(),
+            images: (0..64).map(|i| (Image::from(format!("img-{i:02}").as_str()), 6.25)).collect(),
+        };
+        let (limit, mut bytes) = (2000, 0);
+        for index in 0.. {
+            let (attempt, team) = (Attempt(u64::MAX), TeamName::from("duty-desk"));
+            bytes += entry_bytes(&task(index), attempt, &team, &room);
+            if !MachineRecord::holds(bytes, &record.type_name, &record.zone, limit) {
+                break;
+            }
+            record.entries.push((task(index), attempt, team, room));
+            let value = record.to_value(limit).expect("what is placed can be stored");
+            let stored: MachineRecord = serde_json::from_str(&value).expect("readable");
+            assert!(value.len() <= limit && stored.entries == record.entries);
+            assert!(stored.images.is_empty() || stored.images.last() == record.images.last());
+        }
+        assert!(record.entries.len() > 12, "{} tasks", record.entries.len());
+        (0..9).for_each(|i| record.entries.push((task(100 + i), Attempt(1), "duty-desk".into(), room)));
+        assert_eq!(record.to_value(limit), None, "more than fits is left as it is stored");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 pub mod blocks;
+pub mod compat;
 pub mod fleet;
 pub mod gangs;
 pub mod jobs;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -3,7 +3,8 @@
 use super::master::Master;
 use super::{Effect, Input, Method, Now};
 use crate::blocks::{self, Envelope, PeerMessage};
-use crate::jobs::{self, Ask, Desk, Mirror, OpenJob, Phase, Record, Waiting};
+use crate::compat::{self, Levels};
+use crate::jobs::{self, Ask, Desk, JobSpec, Mirror, Never, OpenJob, Phase, Record, Shape, Waiting};
 use crate::leader::{Seat, Turn};
 use crate::placement::{self, Counts, Factors};
 use crate::settings::Settings;
@@ -47,6 +48,7 @@
         waiting: Waiting,
     },
     Counts,
+    Levels,
     /// The leader's own, void when its fence has passed.
     Master(Fence, MasterOp),
 }
@@ -108,6 +110,7 @@
     beat_at: (Fence, u64),
     counts_loaded: bool,
     user_writes: Budget,
+    pub(super) levels: Levels,
     pub(super) master: Option<Master>,
     pub(super) started: bool,
 }
@@ -150,6 +153,7 @@
             beat_at: (Fence(0), 0),
             counts_loaded: false,
             user_writes,
+            levels: Levels::new(settings.node.clone(), settings.peers.iter().map(|p| p.name.clone())),
             master: None,
             started: false,
             settings,
@@ -175,7 +179,7 @@
         let changed = self.mirror.take_changed();
         if !changed.is_empty() {
             for id in &changed {
-                if self.mirror.get(id).is_some_and(|k| !k.record.is_open()) {
+                if self.mirror.verdict(id).is_some() {
                     self.standings.remove(id);
                 }
             }
@@ -259,6 +263,10 @@
             let request = StateRequest::Range { prefix: COUNTS_PREFIX, after: None, most: PAGE };
             self.ask_state(request, Pending::Counts);
         }
+        let fence = self.seat.valid(now).then(|| self.seat.fence());
+        if let Some(request) = self.levels.tick(now, fence) {
+            self.ask_state(request, Pending::Levels);
+        }
         self.master_tick();
     }
 
@@ -362,23 +370,45 @@
             Ok((_, spec)) if self.types.is_empty() => {
                 // Undecidable yet, unless the team alone decides it.
                 match spec.can_run(&self.settings, &[]) {
-                    Err(never @ jobs::Never::UnknownTeam(_)) => {
-                        Err(jobs::Refusal { status: 422, why: never.to_string() })
-                    }
+                    Err(never @ Never::UnknownTeam(_)) => Err(never.into()),
                     _ => Err(jobs::Refusal { status: 503, why: "machine types are not known yet".into() }),
                 }
             }
             Ok((_, spec)) => match spec.can_run(&self.settings, &self.types) {
-                Ok(()) => Ok(Box::new(spec)),
-                Err(never) => Err(jobs::Refusal { status: 422, why: never.to_string() }),
+                Ok(()) => self.storable(&spec).map(|()| Box::new(spec)),
+                Err(never) => Err(never.into()),
             },
         };
         self.look_up(request, id, Ask::Submit { spec });
     }
 
+    /// A job that needs others is stored only once every node is known to understand that, and any
+    /// job only if its record fits: a larger one would be refused at every try.
+    fn storable(&self, spec: &JobSpec) -> Result<(), jobs::Refusal> {
+        if !spec.needs.is_empty() && self.levels.reached() < compat::DEPENDENCIES {
+            let why = "jobs with `awaits` are taken once every controller has the new version; come back";
+            return Err(jobs::Refusal { status: 503, why: why.into() });
+        }
+        let job = OpenJob { spec: spec.clone(), submitted: self.wall, home: self.settings.node.clone() };
+        let (bytes, limit) = (Record::Open(Arc::new(job)).to_value().len(), self.settings.state.value_bytes);
+        if bytes > limit { Err(Never::TooLarge { bytes, limit }.into()) } else { Ok(()) }
+    }
+
+    /// Why the job can't wait for those that it names, as far as this node knows.
+    fn needs_fault(&self, id: &JobId, spec: &JobSpec) -> Option<Never> {
+        spec.needs.iter().find_map(|need| match self.mirror.get(need) {
+            _ if need == id => Some(Never::NeedsItself),
+            None => Some(Never::NeedsUnknown(need.clone())),
+            Some(known) => {
+                let service = known.record.open().is_some_and(|j| j.spec.shape == Shape::Service);
+                service.then(|| Never::NeedsService(need.clone()))
+            }
+        })
+    }
+
     /// Starts on a request about job `id`.
     fn look_up(&mut self, request: OpId, id: JobId, ask: Ask) {
-        if let Some(phase) = self.mirror.get(&id).and_then(|k| k.record.terminal()) {
+        if let Some(phase) = self.mirror.verdict(&id) {
             return self.answer(request, 200, users::status(&id, phase, self.counts_of(&id)));
         }
         if self.mirror.epoch().is_none() {
@@ -390,8 +420,11 @@
         let known = self.mirror.get(&id).is_some();
         let waiting = Waiting { request, id, ask, since: self.now, tries: 0 };
         match &waiting.ask {
-            // Setting the key if absent decides by itself; no read is needed before.
-            Ask::Submit { spec: Ok(_) } if !known => self.create(waiting),
+            // Setting the key if absent decides by itself; no read is needed before. A name that this
+            // node doesn't know may have been accepted by another one a moment ago.
+            Ask::Submit { spec: Ok(spec) } if !known && self.needs_fault(&waiting.id, spec).is_none() => {
+                self.create(waiting);
+            }
             Ask::Withdraw if known => self.withdraw(waiting),
             _ => self.desk.wait(waiting),
         }
@@ -433,7 +466,7 @@
     fn after_read(&mut self, waiting: Waiting) {
         let Waiting { request, id, .. } = &waiting;
         let (request, id) = (*request, id.clone());
-        let known = self.mirror.get(&id).map(|k| k.record.terminal());
+        let known = self.mirror.get(&id).map(|_| self.mirror.verdict(&id));
         match (known, &waiting.ask) {
             (Some(Some(phase)), _) => {
                 self.answer(request, 200, users::status(&id, phase, self.counts_of(&id)));
@@ -450,7 +483,10 @@
                 let phase = if running { Phase::Running } else { Phase::Pending };
                 self.answer(request, 200, users::status(&id, phase, Some(counts.unwrap_or((0, 0)))));
             }
-            (None, Ask::Submit { spec: Ok(_) }) => self.create(waiting),
+            (None, Ask::Submit { spec: Ok(spec) }) => match self.needs_fault(&id, spec) {
+                Some(never) => self.refuse(request, 422, &never.to_string()),
+                None => self.create(waiting),
+            },
             (None, Ask::Submit { spec: Err(refusal) }) => {
                 let (status, why) = (refusal.status, refusal.why.clone());
                 self.refuse(request, status, &why);
@@ -521,11 +557,18 @@
                     let id = waiting.id.clone();
                     self.mirror.learn(id.clone(), Stamp(epoch), Record::Open(job));
                     tracing::info!(job = %id, "accepted");
-                    self.answer(waiting.request, 201, users::status(&id, Phase::Pending, None));
+                    // Withdrawn at once, if one that it names is.
+                    let phase = self.mirror.verdict(&id).unwrap_or(Phase::Pending);
+                    self.answer(waiting.request, 201, users::status(&id, phase, None));
                 }
                 StateReply::Conflict { .. } if waiting.tries < 3 => {
                     self.desk.wait(Waiting { tries: waiting.tries + 1, ..waiting });
                 }
+                // Refused for good, as it would be at every further try.
+                StateReply::Malformed => {
+                    tracing::error!(job = %waiting.id, "the state service refuses the job's record");
+                    self.refuse(waiting.request, 422, "the state service does not take the job's record");
+                }
                 _ => self.refuse(waiting.request, 503, "the state service can't be written now; come back"),
             },
             Pending::Withdraw { waiting } => match reply {
@@ -538,6 +581,7 @@
                 StateReply::Conflict { .. } => self.desk.wait(waiting),
                 _ => self.refuse(waiting.request, 503, "the state service can't be written now; come back"),
             },
+            Pending::Levels => self.levels.reply(self.now, reply),
             Pending::Counts => {
                 if let StateReply::Pairs { pairs, .. } = reply {
                     self.counts_loaded = true;
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -47,6 +47,8 @@
 const LEASE_MARGIN_S: f64 = 2.0;
 /// Workers that are told the fence directly at a time.
 const PUSHES_AT_ONCE: usize = 8;
+/// How long nothing is placed on a machine whose record the state service refuses.
+const UNWRITABLE_PAUSE: Span = Span::ms(30_000);
 /// A returned machine's late reports and listings are ignored for this long.
 const TOMB_LIFE: Span = Span::ms(600_000);
 /// How often what waits is looked through for rounds. Going through it after every input took
@@ -500,15 +502,7 @@
             return; // `take_stock` reads the mirror
         }
         for id in ids {
-            let Some(known) = self.mirror.get(&id) else { continue };
-            match known.record.open() {
-                Some(job) => {
-                    master.journal.loaded(&jobs::key(&id), known.stamp);
-                    master.guaranteed = None;
-                    master.runs.entry(id).or_insert_with(|| Run::new(job.clone(), now));
-                }
-                None => master.job_over(&id, now),
-            }
+            master.job_changed(&self.mirror, &id, now);
         }
     }
 
@@ -547,7 +541,7 @@
         }
         master.take_report(&report, now);
         let mirror = &self.mirror;
-        let over = |task: &TaskId| mirror.get(&task.job).is_some_and(|k| !k.record.is_open());
+        let over = |task: &TaskId| mirror.verdict(&task.job).is_some();
         let orders = match master.machines.get_mut(&report.machine) {
             Some(m) if (m.session, m.serial) == (report.session, report.serial) => {
                 m.orders(&report, may_start, over)
@@ -610,6 +604,10 @@
                     if let Some(id) = master.settle(&key, version, now) {
                         self.mirror.learn(id.clone(), Stamp(epoch), Record::Done);
                         tracing::info!(job = %id, "done");
+                    } else if let Some(id) = key.strip_prefix(jobs::PREFIX).map(JobId::from)
+                        && self.mirror.graph().doomed(&id)
+                    {
+                        self.mirror.learn(id, Stamp(epoch), Record::Withdrawn);
                     }
                 }
             }
@@ -628,9 +626,11 @@
                 }
             }
             StateReply::Malformed => {
-                // Would be refused again for ever; the next leader starts from what is stored.
-                tracing::error!("the state service refuses a commit as malformed");
-                self.resign("a commit was refused as malformed");
+                master.commit_not_before = now + pause;
+                if let Some((key, bytes)) = master.journal.refused() {
+                    tracing::error!(key, bytes, "the state service refuses this value; left as it is stored");
+                    master.unwritable(&key, now);
+                }
             }
             _ => {
                 master.journal.failed();
@@ -651,6 +651,7 @@
                     .strip_prefix(jobs::PREFIX)
                     .and_then(|id| self.mirror.get(&id.into()))
                     .is_some_and(|k| !k.record.is_open());
+                // Not for a job withdrawn with another: its record still waits to say so.
                 if over {
                     master.journal.give_up(key);
                 }
@@ -740,11 +741,9 @@
             self.send_peer(&peer, message);
         }
         if save && self.master_valid() {
-            let (max_bytes, most) = (
-                (self.settings.state.value_kb * 900.0).min(14_000.0) as usize,
-                self.settings.state.txn_ops.min(4),
-            );
-            let parts = self.counts.take_changed(placement::PARTS as usize, max_bytes);
+            let (max_bytes, most) =
+                (self.settings.state.value_bytes.min(14_000), self.settings.state.txn_ops.min(4));
+            let parts = self.counts.take_changed(placement::PARTS_AT_ONCE, max_bytes);
             for parts in parts.chunks(most) {
                 if let Some(master) = &mut self.master {
                     master.writes.take(parts.len() as f64, now);
@@ -1022,6 +1021,11 @@
             format!("pearford_jobs_known {}", self.mirror.len()),
             format!("pearford_state_requests_open {}", self.ops.len()),
         ];
+        for (node, level, version) in self.levels.nodes() {
+            lines.push(format!("pearford_node_level{{node=\"{node}\",version=\"{version}\"}} {level}"));
+        }
+        lines.push(format!("pearford_level_reached {}", self.levels.reached()));
+        lines.push(format!("pearford_jobs_awaiting {}", self.mirror.graph().waiting()));
         if let Some(m) = &self.master {
             let entries: usize = m.machines.values().map(|m| m.entries.len()).sum();
             lines.push(format!("pearford_machines {}", m.machines.len()));
@@ -1047,15 +1051,29 @@
             id: &'a str,
             waiting: u32,
             why: &'a str,
+            #[serde(skip_serializing_if = "Vec::is_empty")]
+            awaits: Vec<&'a JobId>,
         }
-        let lines: Vec<Line> = self
-            .master
-            .iter()
-            .flat_map(|m| m.runs.iter())
+        const MOST: usize = 250;
+        let runs = self.master.iter().flat_map(|m| m.runs.iter());
+        let mut lines: Vec<Line> = runs
             .filter(|(_, run)| run.waiting_count() > 0)
-            .take(500)
-            .map(|(id, run)| Line { id: id.as_str(), waiting: run.waiting_count(), why: run.why })
+            .take(MOST)
+            .map(|(id, run)| Line {
+                id: id.as_str(),
+                waiting: run.waiting_count(),
+                why: run.why,
+                awaits: Vec::new(),
+            })
             .collect();
+        // Which jobs wait for others follows from the records: every node knows.
+        let graph = self.mirror.graph();
+        lines.extend(graph.waiting_ids().take(MOST).map(|id| Line {
+            id: id.as_str(),
+            waiting: self.mirror.get(id).and_then(|k| k.record.open()).map_or(0, |j| j.spec.tasks),
+            why: "jobs that it needs are not done",
+            awaits: graph.missing(id).into_iter().take(8).collect(),
+        }));
         serde_json::to_string(&lines).unwrap_or_default()
     }
 }
--- a/src/node/master/room.rs
+++ b/src/node/master/room.rs
@@ -19,7 +19,7 @@
     pub(super) fn preempt(&mut self, ask: &TaskAsk, now: Time) -> bool {
         let guaranteed = self.guaranteed();
         let Some(run) = self.runs.get_mut(&ask.job) else { return false };
-        let spec = run.job.spec.clone();
+        let (spec, priority) = (run.job.spec.clone(), run.priority);
         if run.making_room_until.is_some_and(|until| now < until) {
             return false;
         }
@@ -37,7 +37,7 @@
         // A gang of several would put off more work than it is: while less urgent work waits for room
         // itself, that only passes the wait on.
         let several = ask.shape == Shape::Gang && ask.tasks.len() > 1;
-        if several && self.crowded(spec.priority) {
+        if several && self.crowded(priority) {
             return true;
         }
         if self.clear_for(ask, &spec, Clear::Lower, now) == 0 && mine && one {
@@ -135,7 +135,7 @@
 
     /// Whether so much work below `priority` waits that what was stopped would wait long.
     fn crowded(&self, priority: Priority) -> bool {
-        let lower = self.runs.values().filter(|r| r.job.spec.priority < priority);
+        let lower = self.runs.values().filter(|r| r.priority < priority);
         let (waiting, placed) =
             lower.fold((0, 0), |(w, p), r| (w + r.waiting_count() as usize, p + r.placed().len()));
         waiting as f64 > placed as f64 * CROWDED
@@ -144,6 +144,7 @@
     /// Stops what loses least so that `ask` fits; gives the number of machines where that makes room.
     fn clear_for(&mut self, ask: &TaskAsk, spec: &JobSpec, how: Clear, now: Time) -> u32 {
         let mut candidates = Vec::new();
+        let Some(priority) = self.runs.get(&ask.job).map(|r| r.priority) else { return 0 };
         for m in self.machines.values() {
             let may = m.open_for_tasks(now)
                 && m.held_for(now).is_none_or(|j| *j == ask.job)
@@ -164,9 +165,9 @@
                 let Some(other) = self.runs.get(&task.job) else { continue };
                 let o = &other.job.spec;
                 let may_stop = match how {
-                    Clear::Lower => o.priority < spec.priority,
+                    Clear::Lower => other.priority < priority,
                     // At once: no whole gangs, and no wait for a save below.
-                    Clear::WithImage => o.priority < spec.priority && !(other.is_gang() && o.tasks > 1),
+                    Clear::WithImage => other.priority < priority && !(other.is_gang() && o.tasks > 1),
                     Clear::Beyond(kept) => {
                         o.team != spec.team && !kept.contains(&task.job) && !(other.is_gang() && o.tasks > 1)
                     }
--- a/src/node/master/rounds.rs
+++ b/src/node/master/rounds.rs
@@ -11,8 +11,7 @@
         run: &Run,
         guaranteed: &BTreeSet<JobId>,
     ) -> (Reverse<Priority>, bool, u64) {
-        let spec = &run.job.spec;
-        (Reverse(spec.priority), !guaranteed.contains(id), run.job.submitted.0)
+        (Reverse(run.priority), !guaranteed.contains(id), run.job.submitted.0)
     }
 
     /// Jobs within their team's guarantee, alongside the team's earlier unfinished jobs.
@@ -165,18 +164,30 @@
         rounds
     }
 
+    /// What an entry of the job's tasks takes in a record, whichever attempt it will be.
+    fn entry_bytes(&self, task: &TaskId, spec: &JobSpec) -> usize {
+        ledger::entry_bytes(task, Attempt(u64::MAX), &spec.team, &spec.room)
+    }
+
     /// Machines that could take some task of `asks`: of a busy fleet that is a small part.
     fn open_views(&mut self, asks: &[TaskAsk], now: Time) -> Vec<MachineView> {
         let least = |of: fn(&Room) -> f64| asks.iter().map(|a| of(&a.room)).fold(f64::MAX, f64::min);
         let least =
             Room { cpus: least(|r| r.cpus), gpus: least(|r| r.gpus), memory_gb: least(|r| r.memory_gb) };
+        // One whose record can't hold the largest entry is left out: offered, it would be chosen in vain.
+        let last_task =
+            |a: &TaskAsk| TaskId { job: a.job.clone(), index: a.tasks.last().copied().unwrap_or(0) };
+        let bytes = asks
+            .iter()
+            .filter_map(|a| self.runs.get(&a.job).map(|r| self.entry_bytes(&last_task(a), &r.job.spec)));
+        let (bytes, limit) = (bytes.max().unwrap_or(0), self.settings.state.value_bytes);
         let mut views = Vec::new();
         for m in self.machines.values() {
             if m.standing != Standing::Up {
                 continue;
             }
             self.blocks.add(&m.id);
-            if !least.fits_in(&m.free()) || !m.open_for_tasks(now) {
+            if !least.fits_in(&m.free()) || !m.open_for_tasks(now) || !m.record_holds(bytes, limit) {
                 continue;
             }
             let health = self.health(m, now);
@@ -256,20 +267,10 @@
             }
             let attempt = if gang { attempt } else { self.attempts.issue() };
             let Some(m) = self.machines.get_mut(&machine) else { continue };
-            m.entries.insert(
-                task.clone(),
-                Entry {
-                    attempt,
-                    team: spec.team.clone(),
-                    room: spec.room,
-                    state: EntryState::Planned,
-                    stop: None,
-                    running_since: None,
-                    planned_at: now,
-                    has_image: false,
-                    after_fetches: slow_fetch && m.has_image(&spec.image),
-                },
-            );
+            let mut entry =
+                Entry::new(&task, attempt, spec.team.clone(), spec.room, EntryState::Planned, now);
+            entry.after_fetches = slow_fetch && m.has_image(&spec.image);
+            m.entries.insert(task.clone(), entry);
             self.dirty.insert(machine.clone());
             self.recount(&machine, now);
             if let Some(run) = self.runs.get_mut(&ask.job) {
@@ -323,6 +324,7 @@
             && m.held_for(now).is_none_or(|j| *j == task.job)
             && !m.entries.contains_key(task)
             && spec.room.fits_in(&m.free())
+            && m.record_holds(self.entry_bytes(task, spec), self.settings.state.value_bytes)
             && spec.type_allowed(&m.type_name)
             && (spec.spot || !m.spot)
             && zones.iter().any(|(z, n)| *z == m.zone && *n > 0)
--- a/src/node/master/stock.rs
+++ b/src/node/master/stock.rs
@@ -25,28 +25,16 @@
             m.images = record.images;
         }
         for (task, attempt, team, room) in record.entries {
-            m.entries.entry(task).or_insert(Entry {
-                attempt,
-                team,
-                room,
-                state: EntryState::Inherited,
-                stop: None,
-                running_since: None,
-                planned_at: now,
-                has_image: false,
-                after_fetches: false,
-            });
+            let entry = Entry::new(&task, attempt, team, room, EntryState::Inherited, now);
+            m.entries.entry(task).or_insert(entry);
         }
         m.recount(&mut self.used, now);
     }
 
     /// All records are read: builds the runs, and stops what must not go on.
     pub(super) fn take_stock(&mut self, mirror: &jobs::Mirror, now: Time) {
-        for (id, known) in mirror.iter() {
-            if let Some(job) = known.record.open() {
-                self.journal.loaded(&jobs::key(id), known.stamp);
-                self.runs.entry(id.clone()).or_insert_with(|| Run::new(job.clone(), now));
-            }
+        for (id, _) in mirror.iter().filter(|(_, known)| known.record.is_open()) {
+            self.job_changed(mirror, id, now);
         }
         for pair in std::mem::take(&mut self.progress) {
             let Some((id, chunk)) = pair.key.strip_prefix(PROGRESS_PREFIX).and_then(|k| k.rsplit_once('/'))
@@ -106,6 +94,47 @@
         }
     }
 
+    /// What the job records say of `id` has changed. A job gets a run, without which none of its tasks
+    /// can be placed, once all that it needs is durably done.
+    pub(super) fn job_changed(&mut self, mirror: &jobs::Mirror, id: &JobId, now: Time) {
+        let Some(known) = mirror.get(id) else { return };
+        if mirror.verdict(id).is_some() {
+            self.job_over(id, now);
+            if known.record.is_open() {
+                // Withdrawn with a job that it needs. Status says so already; the record follows when
+                // nothing urgent waits.
+                let key = jobs::key(id);
+                self.journal.loaded(&key, known.stamp);
+                self.journal.put(&key, Some(Record::Withdrawn.to_value()), false);
+            }
+        } else if let Some(job) = known.record.open().filter(|_| mirror.ready(id)) {
+            self.journal.loaded(&jobs::key(id), known.stamp);
+            let run = self.runs.entry(id.clone()).or_insert_with(|| {
+                self.guaranteed = None;
+                Run::new(job.clone(), now)
+            });
+            let priority = mirror.priority(id);
+            if run.priority != priority {
+                run.priority = priority;
+                run.tried = 0; // room may be made for it now
+            }
+        }
+    }
+
+    /// The state service refuses a value for good. What is stored stays; starts that depended on the
+    /// new value are taken back, and nothing new goes to the machine for a while.
+    pub(super) fn unwritable(&mut self, key: &str, now: Time) {
+        let Some(id) = key.strip_prefix(ledger::PREFIX).map(MachineId::from) else { return };
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        m.not_before = now + UNWRITABLE_PAUSE;
+        let planned = m.entries.iter().filter(|(_, e)| e.state == EntryState::Planned);
+        let planned: Vec<TaskId> = planned.map(|(t, _)| t.clone()).collect();
+        for task in planned {
+            self.stop_task(&id, &task, 0.0, now);
+        }
+        self.dirty.remove(&id);
+    }
+
     /// A task of a job that is over, or done already: off the ledger if that is proved, else stopped.
     pub(super) fn drop_or_stop(&mut self, machine: &MachineId, task: &TaskId, now: Time) {
         let Some(m) = self.machines.get_mut(machine) else { return };
@@ -439,17 +468,9 @@
             m.take_report(&report(&id, "z0", 1), now);
             let id = MachineId::from(id.as_str());
             let task = TaskId { job: "req-1".into(), index: i };
-            let entry = Entry {
-                attempt: Attempt(7),
-                team: "red".into(),
-                room: Room::default(),
-                state: EntryState::Ready,
-                stop: None,
-                running_since: None,
-                planned_at: now,
-                has_image: false,
-                after_fetches,
-            };
+            let mut entry =
+                Entry::new(&task, Attempt(7), "red".into(), Room::default(), EntryState::Ready, now);
+            entry.after_fetches = after_fetches;
             m.machines.get_mut(&id).expect("there").entries.insert(task, entry);
             m.runs.get_mut(&JobId::from("req-1")).expect("there").place(i, id);
         }
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -240,7 +240,10 @@
             if m.entries.is_empty() && !self.journal.holds(&ledger::key(&id)) {
                 continue;
             }
-            let value = serde_json::to_string(&m.record()).unwrap_or_default();
+            let Some(value) = m.record().to_value(self.settings.state.value_bytes) else {
+                tracing::debug!(machine = %id, "its record is too large to be written anew; stays as stored");
+                continue;
+            };
             let planned: Vec<TaskId> = m
                 .entries
                 .iter()
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! Unknown fields of the platform's file are ignored (new ones may come); unknown operator keys
 //! are errors, since a misspelt key would otherwise silently leave its default in force.
 
+use crate::store::Limits;
 use crate::types::{Kind, NodeName, Span, TeamName, Zone};
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -100,6 +101,21 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Limits that the state service will have from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateFacts>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct NextStateFacts {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -224,7 +240,8 @@
     pub teams: BTreeMap<TeamName, Team>,
     pub objectives: Vec<Objective>,
     pub workers: WorkerFacts,
-    pub state: StateFacts,
+    /// What the state service takes, now and after its next limits come into force.
+    pub state: Limits,
     pub cloud: CloudFacts,
     pub limits: MachineLimits,
     pub operator: Operator,
@@ -327,8 +344,21 @@
     }
     c.at_least("facts.cloud.list_lag_s", f.cloud.list_lag_s, 0.0);
     c.at_least("facts.time_bound_ms", f.time_bound_ms, 0.0);
-    if f.state.txn_ops < 2 {
-        c.fault("facts.state.txn_ops", "must be at least 2: a commit needs room for two keys");
+    let next = f.state.next.as_ref();
+    for (key, v) in [
+        ("facts.state.next.rps", next.and_then(|n| n.rps)),
+        ("facts.state.next.write_rps", next.and_then(|n| n.write_rps)),
+        ("facts.state.next.value_kb", next.and_then(|n| n.value_kb)),
+    ] {
+        v.into_iter().for_each(|v| c.above(key, v, 0.0));
+    }
+    for (key, ops) in [
+        ("facts.state.txn_ops", Some(f.state.txn_ops)),
+        ("facts.state.next.txn_ops", next.and_then(|n| n.txn_ops)),
+    ] {
+        if ops.is_some_and(|ops| ops < 2) {
+            c.fault(key, "must be at least 2: a commit needs room for two keys");
+        }
     }
     if f.machine_limits.max_connections < 16 {
         c.fault("facts.machine_limits.max_connections", "must be at least 16");
@@ -378,7 +408,7 @@
         teams,
         objectives: f.objectives.clone(),
         workers: f.workers.clone(),
-        state: f.state.clone(),
+        state: Limits::of(&f.state),
         cloud: f.cloud.clone(),
         limits: f.machine_limits.clone(),
         operator: Operator::default(),
@@ -561,4 +591,18 @@
         assert_eq!(keys(SAMPLE, Some("rent_at_most: 51\nround_tasks: 0")), ["rent_at_most", "round_tasks"]);
         assert_eq!(keys(SAMPLE, Some("# nothing\n")), Vec::<String>::new());
     }
+
+    #[test]
+    fn next_limits_of_the_state_service_are_checked_like_the_present_ones() {
+        let with = |next: &str| {
+            SAMPLE.replace("[facts.cloud]", &format!("[facts.state.next]\n{next}\n[facts.cloud]"))
+        };
+        assert_eq!(
+            keys(&with("value_kb = 0\nwrite_rps = -1.0\ntxn_ops = 1"), None),
+            ["facts.state.next.write_rps", "facts.state.next.value_kb", "facts.state.next.txn_ops"]
+        );
+        let s = parse(("p", &with("value_kb = 2.0\ntxn_ops = 40\nlater = 1")), None).expect("valid");
+        // The stricter of each pair holds.
+        assert_eq!((s.state.value_bytes, s.state.txn_ops, s.state.write_rps), (2000, 12, 100.0));
+    }
 }
--- a/src/wire/users.rs
+++ b/src/wire/users.rs
@@ -3,6 +3,7 @@
 use crate::jobs::{JobSpec, Phase, Priority, Shape};
 use crate::types::{JobId, Room, Span};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 const ID_PREFIX: &str = "req-";
 pub const MAX_TASKS: u64 = 100_000;
@@ -35,6 +36,8 @@
     snapshot_s: f64,
     #[serde(default)]
     due_s: Option<f64>,
+    #[serde(default)]
+    awaits: Option<Vec<String>>,
 }
 
 #[derive(Deserialize)]
@@ -109,6 +112,14 @@
     if s.due_s.is_some_and(|d| d <= 0.0) {
         return Err("due_s: must be above 0 or null".into());
     }
+    let mut needs: Vec<JobId> = Vec::new();
+    let mut named: BTreeSet<JobId> = BTreeSet::new();
+    for need in s.awaits.iter().flatten() {
+        let need = job_id(need).ok_or("awaits: must be a list of job ids like req-000412")?;
+        if named.insert(need.clone()) {
+            needs.push(need);
+        }
+    }
     let span = |key: &str, v: f64| amount(key, v, 0.0).map(Span::secs);
     let spec = JobSpec {
         kind: s.job_class.as_str().into(),
@@ -141,6 +152,7 @@
         checkpoint: span("snapshot_every_s", s.snapshot_every_s)?,
         save: span("snapshot_s", s.snapshot_s)?,
         deadline: s.due_s.map(|d| span("due_s", d)).transpose()?,
+        needs,
     };
     Ok((id, spec))
 }
@@ -195,6 +207,19 @@
         assert!(spec.types.is_none() && spec.zone.is_none() && spec.deadline.is_none());
     }
 
+    #[test]
+    fn a_job_may_name_others_that_it_needs() {
+        let with =
+            |awaits: &str| GOOD.replace("\"due_s\":900.0", &format!("\"due_s\":900.0,\"awaits\":{awaits}"));
+        let needs = |awaits: &str| submission(with(awaits).as_bytes()).map(|(_, spec)| spec.needs);
+        assert_eq!(needs("null"), Ok(Vec::new()));
+        assert_eq!(needs("[]"), Ok(Vec::new()));
+        assert_eq!(needs(r#"["req-2","req-1","req-2"]"#), Ok(vec!["req-2".into(), "req-1".into()]));
+        for bad in ["\"req-1\"", "[1]", "[\"job-1\"]", "[null]", "{}", "[\"req-1/2\"]"] {
+            assert!(needs(bad).is_err(), "{bad} must be refused");
+        }
+    }
+
     #[test]
     fn bad_submissions_are_refused_with_a_reason() {
         for (from, to) in [
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -67,6 +67,8 @@
     free: Room,
     empty: bool,
     tally: Vec<(TeamName, Room)>,
+    /// What the entries take in the machine's record.
+    entry_bytes: usize,
     /// Tasks reported that the ledger doesn't know: stopped, and until then nothing starts here.
     pub strays: BTreeSet<TaskId>,
     /// Images a task got here and their sizes, in order of last use.
@@ -127,6 +129,7 @@
             free: total,
             empty: true,
             tally: Vec::new(),
+            entry_bytes: 0,
             strays: BTreeSet::new(),
             images: Vec::new(),
             empty_since: Some(now),
@@ -173,6 +176,7 @@
             }
         }
         self.free = self.total;
+        self.entry_bytes = self.entries.values().map(|e| e.bytes).sum();
         for e in self.entries.values().filter(|e| e.counts()) {
             self.free = self.free.minus(&e.room);
             match self.tally.iter_mut().find(|(team, _)| *team == e.team) {
@@ -215,6 +219,11 @@
             && self.entries.len() < crate::ledger::MAX_ENTRIES
     }
 
+    /// Whether its record, of at most `limit` bytes, can hold an entry of `bytes` more.
+    pub fn record_holds(&self, bytes: usize, limit: usize) -> bool {
+        MachineRecord::holds(self.entry_bytes + bytes, &self.type_name, &self.zone, limit)
+    }
+
     /// The job it is held for, if the hold is still on.
     pub fn held_for(&self, now: Time) -> Option<&JobId> {
         self.held.as_ref().filter(|(_, until)| now < *until).map(|(job, _)| job)
@@ -506,17 +515,7 @@
         let room = Room { cpus: 4.0, gpus: 1.0, memory_gb: 4.0 };
         let mut m = Machine::new("m-1".into(), "t".into(), "z".into(), false, room, Time::default());
         let task = TaskId::parse("req-1/0").expect("valid");
-        let entry = Entry {
-            attempt: Attempt(7),
-            team: "red".into(),
-            room,
-            state,
-            stop: None,
-            running_since: None,
-            planned_at: Time::default(),
-            has_image: false,
-            after_fetches: false,
-        };
+        let entry = Entry::new(&task, Attempt(7), "red".into(), room, state, Time::default());
         m.entries.insert(task.clone(), entry);
         (m, task)
     }
