Seeded world: pipelines, upgrades one by one, lowered limits; too_early and orphaned are checked

The checker notices when the gate or the carrying on of cancellations is taken out, and dependent jobs are stored early when the level's mark is.

--- a/src/compat/mod.rs
+++ b/src/compat/mod.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    #[cfg(test)]
+    pub(crate) fn sabotage_reached(&mut self) {
+        self.reached = OURS;
+    }
+
     fn learn(&mut self, pair: &Pair) {
         if pair.key == MARK {
             self.mark_stamp = pair.stamp;
--- a/src/jobs/graph.rs
+++ b/src/jobs/graph.rs
@@ -25,11 +25,27 @@
     waits: BTreeMap<JobId, Dependent>,
     /// Who waits for a job, be that known or not.
     dependents: BTreeMap<JobId, Vec<JobId>>,
+    /// A guard to take out, for proving that the test world's checker notices.
+    #[cfg(test)]
+    pub(crate) without: Option<Guard>,
+}
+
+#[cfg(test)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Guard {
+    /// Jobs wait for what they need.
+    Order,
+    /// Jobs are withdrawn with what they need.
+    Cancellation,
 }
 
 impl Graph {
     /// Whether the job waits for others, or is withdrawn with one.
     pub fn waits(&self, id: &JobId) -> bool {
+        #[cfg(test)]
+        if self.without == Some(Guard::Order) {
+            return false;
+        }
         self.waits.contains_key(id)
     }
 
@@ -108,6 +124,10 @@
 
     /// Withdraws `id` and all that need it, directly or through others.
     fn doom(&mut self, id: &JobId) -> Vec<JobId> {
+        #[cfg(test)]
+        if self.without == Some(Guard::Cancellation) {
+            return Vec::new();
+        }
         let (mut doomed, mut next) = (Vec::new(), vec![id.clone()]);
         while let Some(id) = next.pop() {
             let Some(d) = self.waits.get_mut(&id).filter(|d| !d.doomed) else { continue };
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,7 +1,7 @@
 //! Jobs: what users asked for, the durable record of each, and every node's mirror of them.
 
 mod desk;
-mod graph;
+pub(crate) mod graph;
 mod run;
 
 pub use desk::{Ask, Desk, Refusal, Waiting};
@@ -200,6 +200,9 @@
     /// Ids whose records changed since the last `take_changed`, or for whom others' records change
     /// something: free to run, withdrawn, or of another priority.
     changed: Vec<JobId>,
+    /// As the version before dependencies does.
+    #[cfg(test)]
+    pub skip_dependent: bool,
 }
 
 impl Mirror {
@@ -225,6 +228,10 @@
     pub fn graph(&self) -> &Graph {
         &self.graph
     }
+    #[cfg(test)]
+    pub(crate) fn take_out(&mut self, guard: graph::Guard) {
+        self.graph.without = Some(guard);
+    }
     pub fn len(&self) -> usize {
         self.jobs.len()
     }
@@ -271,6 +278,10 @@
 
     pub fn learn_pair(&mut self, pair: &Pair) {
         let Some(id) = pair.key.strip_prefix(PREFIX) else { return };
+        #[cfg(test)]
+        if self.skip_dependent && pair.value.starts_with("{\"dependent\"") {
+            return;
+        }
         match serde_json::from_str(&pair.value) {
             Ok(record) => self.learn(id.into(), pair.stamp, record),
             Err(error) => tracing::error!(key = pair.key, %error, "job record can't be read; skipped"),
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -113,6 +113,8 @@
     pub(super) levels: Levels,
     pub(super) master: Option<Master>,
     pub(super) started: bool,
+    #[cfg(test)]
+    old: bool,
 }
 
 impl Core {
@@ -156,6 +158,8 @@
             levels: Levels::new(settings.node.clone(), settings.peers.iter().map(|p| p.name.clone())),
             master: None,
             started: false,
+            #[cfg(test)]
+            old: false,
             settings,
         }
     }
@@ -264,6 +268,10 @@
             self.ask_state(request, Pending::Counts);
         }
         let fence = self.seat.valid(now).then(|| self.seat.fence());
+        #[cfg(test)]
+        if self.old {
+            return self.master_tick();
+        }
         if let Some(request) = self.levels.tick(now, fence) {
             self.ask_state(request, Pending::Levels);
         }
@@ -365,7 +373,15 @@
             let why = users::submission(body).err().unwrap_or_else(|| "id: invalid".into());
             return self.refuse(request, 400, &why);
         };
-        let spec = match users::submission(body) {
+        let read = users::submission(body);
+        #[cfg(test)]
+        let read = read.map(|(id, mut spec)| {
+            if self.old {
+                spec.needs.clear();
+            }
+            (id, spec)
+        });
+        let spec = match read {
             Err(why) => Err(jobs::Refusal { status: 400, why }),
             Ok((_, spec)) if self.types.is_empty() => {
                 // Undecidable yet, unless the team alone decides it.
@@ -744,3 +760,17 @@
         fetch_half_s: o.fetch_half_s,
     }
 }
+
+/// The version before dependencies, for days on which both serve.
+#[cfg(test)]
+impl Core {
+    /// It announces nothing, ignores `awaits`, and can't read records of dependent jobs.
+    pub(super) fn act_like_the_version_before(&mut self) {
+        self.old = true;
+        self.mirror.skip_dependent = true;
+    }
+
+    pub(super) fn sabotage_level(&mut self) {
+        self.levels.sabotage_reached();
+    }
+}
--- a/src/node/world/mod.rs
+++ b/src/node/world/mod.rs
@@ -116,6 +116,10 @@
     MachineDies,
     MachineHangs(u64),
     SpotNotice,
+    /// Ends a node's process, which comes back with the new version.
+    Upgrade(usize),
+    /// The state service's next limits come into force.
+    Limits,
 }
 
 /// Who waits for the answer to a request at a node.
@@ -139,6 +143,10 @@
     pub id: String,
     pub body: Value,
     pub withdraw_at: Option<u64>,
+    /// Submits only once all jobs that it names are over, not as soon as they are accepted.
+    pub late: bool,
+    /// The only node it asks, where not any.
+    pub node: Option<usize>,
     ask: u64,
     pub stage: Stage,
 }
@@ -158,6 +166,8 @@
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<(u64, u64), Event>,
     pub settings: Vec<Arc<Settings>>,
+    /// Nodes that still run the version before dependencies, and the settings it read.
+    pub old: BTreeMap<usize, Arc<Settings>>,
     pub nodes: Vec<Node>,
     pub state: state::Service,
     pub cloud: cloud::Cloud,
@@ -187,7 +197,7 @@
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             nodes: Vec::new(),
-            state: state::Service::default(),
+            state: state::Service::new(settings[0].state.clone()),
             cloud: cloud::Cloud::default(),
             workers: Vec::new(),
             users: Vec::new(),
@@ -195,6 +205,7 @@
             held: Vec::new(),
             rules: Rules::new(settings[0].workers.cancel_s, &settings[0].teams),
             sabotage: None,
+            old: BTreeMap::new(),
             settings,
         };
         for i in 0..nodes {
@@ -301,7 +312,11 @@
                 let seed = self.rng.random();
                 let node = &mut self.nodes[i];
                 node.life += 1;
-                node.core = Some(Core::new(self.settings[i].clone(), seed));
+                let mut core = Core::new(self.old.get(&i).unwrap_or(&self.settings[i]).clone(), seed);
+                if self.old.contains_key(&i) {
+                    core.act_like_the_version_before();
+                }
+                node.core = Some(core);
                 node.askers.clear();
                 node.open_ops.clear();
                 let life = node.life;
@@ -325,12 +340,23 @@
         }
     }
 
+    /// All nodes begin with the version before dependencies, and the state service with the limits
+    /// that it has then. The settings name its next ones.
+    pub fn begin_old(&mut self) {
+        let nodes = self.settings.len();
+        self.old = self.settings.iter().cloned().enumerate().collect();
+        self.settings = (0..nodes).map(|i| Arc::new(settings_text(i, nodes, 12, NEXT))).collect();
+    }
+
     fn step(&mut self, i: usize, input: Input) {
         let now =
             Now { steady: Time::from_ms(1_000_000 + self.now), wall: Wall(1_700_000_000_000 + self.now) };
         let life = self.nodes[i].life;
         let Some(core) = &mut self.nodes[i].core else { return };
         let effects = core.step(now, input);
+        if self.old.contains_key(&i) {
+            core.act_like_the_version_before();
+        }
         if let Some(sabotage) = self.sabotage {
             sabotage(core, self.now);
         }
@@ -414,7 +440,15 @@
 
     pub fn add_user(&mut self, at: u64, body: Value, withdraw_at: Option<u64>) {
         let id = body["id"].as_str().unwrap_or_default().to_string();
-        self.users.push(User { id, body, withdraw_at, ask: 0, stage: Stage::Submitting });
+        self.users.push(User {
+            id,
+            body,
+            withdraw_at,
+            late: false,
+            node: None,
+            ask: 0,
+            stage: Stage::Submitting,
+        });
         self.at(at, Event::User(self.users.len() - 1));
     }
 
@@ -425,6 +459,18 @@
             user.stage = Stage::Withdrawing;
             self.rules.asked_to_withdraw(&self.users[u].id);
         }
+        let ready = |need: &Value| {
+            let need = need.as_str().unwrap_or_default();
+            match self.users[u].late {
+                true => self.rules.verdict(need).is_some(),
+                false => self.rules.accepted(need),
+            }
+        };
+        if self.users[u].stage == Stage::Submitting
+            && !self.users[u].body["awaits"].as_array().into_iter().flatten().all(ready)
+        {
+            return self.after(400, Event::User(u));
+        }
         let user = &mut self.users[u];
         user.ask += 1;
         let ask = user.ask;
@@ -436,7 +482,8 @@
         if user.stage == Stage::Submitting {
             self.rules.submitted(&user.id, &user.body);
         }
-        let i = self.rng.random_range(0..self.settings.len());
+        let any = self.rng.random_range(0..self.settings.len());
+        let i = self.users[u].node.unwrap_or(any);
         let patience = if self.users[u].stage == Stage::Polling { 2000 } else { 5000 };
         if self.request(i, Asker::User { user: u, ask }, Host::User, method, path, body) {
             self.after(patience, Event::UserTimeout { user: u, ask });
@@ -505,6 +552,11 @@
                     }
                 }
             }
+            Fault::Upgrade(i) => {
+                self.old.remove(&i);
+                self.fault(Fault::Crash(i));
+            }
+            Fault::Limits => self.state.limits = self.settings[0].state.clone(),
             Fault::CloudOutage(on) => self.cloud.outage = on,
             Fault::MachineDies => {
                 if let Some(m) = self.any_machine(|_| true) {
@@ -532,7 +584,14 @@
     }
 }
 
+/// So small that a machine's record holds few tasks.
+const NEXT: &str = "[facts.state.next]\nvalue_kb = 0.75\ntxn_ops = 4\nwrite_rps = 50.0\n";
+
 fn settings_of(i: usize, nodes: usize, gpus: u32) -> Settings {
+    settings_text(i, nodes, gpus, "")
+}
+
+fn settings_text(i: usize, nodes: usize, gpus: u32, next: &str) -> Settings {
     let mut text = format!(
         "node = \"n{i}\"\nsite = \"z{i}\"\napi_addr = \"10.0.0.{i}:8080\"\nback = \"10.0.0.{i}:8081\"\n"
     );
@@ -541,6 +600,7 @@
     }
     let sample = crate::settings::tests::SAMPLE;
     text += &sample[sample.find("[outside]").unwrap_or(0)..];
+    let text = text.replace("[facts.cloud]", &format!("{next}[facts.cloud]"));
     let text = text.replace("gpus_max = 12.0", &format!("gpus_max = {gpus}.0"));
     let operator = "idle_return_s: 20\nrefusal_pause_s: 3\n";
     parse(("test", &text), Some(("operator".into(), operator))).expect("the test settings are valid")
--- a/src/node/world/rules.rs
+++ b/src/node/world/rules.rs
@@ -74,6 +74,21 @@
         self.done.get(job).is_some_and(|d| d.len() as u64 >= n)
     }
 
+    fn needs(&self, job: &str) -> Vec<String> {
+        let named = self.bodies.get(job).and_then(|b| b["awaits"].as_array());
+        named.into_iter().flatten().filter_map(|n| n.as_str().map(String::from)).collect()
+    }
+
+    /// The job and all that it needs, directly or through others.
+    fn line(&self, job: &str) -> BTreeSet<String> {
+        let (mut seen, mut next) = (BTreeSet::new(), vec![job.to_string()]);
+        while let Some(job) = next.pop() {
+            next.extend(self.needs(&job));
+            seen.insert(job);
+        }
+        seen
+    }
+
     fn fail(&mut self, now: u64, what: String) {
         self.broken.push(format!("at {now} ms: {what}"));
     }
@@ -95,6 +110,10 @@
         let Some(body) = self.body(job) else {
             return self.fail(now, format!("invented: {task} starts, nobody submitted it"));
         };
+        let early: Vec<String> = self.needs(job).into_iter().filter(|n| !self.all_done(n)).collect();
+        for need in early {
+            self.fail(now, format!("too_early: {task} starts, {need} is not done"));
+        }
         let others = |f: &dyn Fn(&Worker, &super::workers::Task) -> bool| {
             workers
                 .iter()
@@ -125,6 +144,9 @@
     /// An answer reached its user.
     pub fn answered(&mut self, now: u64, id: &str, submitting: bool, status: u16, phase: &str) {
         let all_done = self.all_done(id);
+        let line: Vec<&Told> = self.line(id).iter().filter_map(|j| self.told.get(j)).collect();
+        let withdraw_asked = line.iter().any(|t| t.withdraw_asked);
+        let orphan = line.iter().filter_map(|t| t.withdrawn_at).any(|at| now > at + self.cancel_ms);
         let t = self.told.entry(id.into()).or_default();
         let mut bad = Vec::new();
         match status {
@@ -138,8 +160,11 @@
                 if phase == "done" && !all_done {
                     bad.push(format!("not_done: {id}"));
                 }
-                if phase == "withdrawn" && !t.withdraw_asked {
-                    bad.push(format!("went_back: nobody withdrew {id}"));
+                if phase == "withdrawn" && !withdraw_asked {
+                    bad.push(format!("went_back: nobody withdrew {id}, nor what it needs"));
+                }
+                if orphan && phase != "withdrawn" {
+                    bad.push(format!("orphaned: {id} is called {phase}"));
                 }
                 if matches!(phase, "done" | "withdrawn") {
                     t.verdict = Some(phase.into());
--- a/src/node/world/state.rs
+++ b/src/node/world/state.rs
@@ -1,6 +1,7 @@
 //! A stand-in of the state service.
 
 use super::{Event, Host, Input, World};
+use crate::store::Limits;
 use crate::types::{OpId, Permit, Stamp};
 use crate::wire::state::{Change, Event as News, Pair, StateReply, StateRequest};
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,7 +21,7 @@
     since: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Service {
     epoch: u64,
     keys: BTreeMap<String, (String, Stamp, Option<Permit>)>,
@@ -30,6 +31,9 @@
     next: u64,
     away: bool,
     pub refused: BTreeSet<usize>,
+    pub limits: Limits,
+    /// Values and transactions that were refused for being over the limits.
+    pub too_large: Vec<String>,
     /// Sabotage: takes every transaction, whatever its conditions.
     pub careless: bool,
 }
@@ -42,6 +46,26 @@
 }
 
 impl Service {
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            epoch: 0,
+            keys: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            history: Vec::new(),
+            watches: BTreeMap::new(),
+            next: 0,
+            away: false,
+            refused: BTreeSet::new(),
+            limits,
+            too_large: Vec::new(),
+            careless: false,
+        }
+    }
+
+    pub fn key(&self, key: &str) -> Option<&str> {
+        self.keys.get(key).map(|(value, ..)| value.as_str())
+    }
+
     pub fn outage(&mut self, on: bool, now: u64) {
         self.away = on;
         if !on {
@@ -74,6 +98,15 @@
     }
 
     fn commit(&mut self, conditions: &[(String, Stamp)], changes: Vec<Change>) -> StateReply {
+        let over = changes.iter().find_map(|c| match c {
+            Change::Put { key, value, .. } if value.len() > self.limits.value_bytes => Some(key.clone()),
+            _ => None,
+        });
+        let many = changes.len() > self.limits.txn_ops || conditions.len() > 4 * self.limits.txn_ops;
+        if let Some(what) = over.or(many.then(|| format!("a transaction of {}", changes.len()))) {
+            self.too_large.push(what);
+            return StateReply::Malformed;
+        }
         let stamp = |k: &String| self.keys.get(k).map(|v| v.1).unwrap_or_default();
         let failed: Vec<String> =
             conditions.iter().filter(|(k, s)| stamp(k) != *s).map(|(k, _)| k.clone()).collect();
@@ -86,13 +119,11 @@
         if !failed.is_empty() && !self.careless {
             return StateReply::Conflict { failed };
         }
-        assert!(changes.len() <= 12 && conditions.len() <= 48, "a transaction over the limit");
         self.epoch += 1;
         let stamp = Stamp(self.epoch);
         for change in changes {
             match change {
                 Change::Put { key, value, permit } => {
-                    assert!(value.len() <= 16 * 1024, "a value over the limit under {key}");
                     self.keys.insert(key.clone(), (value.clone(), stamp, permit));
                     self.history.push(News::Put(Pair { key, value, stamp }));
                 }
--- a/src/node/world/tests.rs
+++ b/src/node/world/tests.rs
@@ -3,6 +3,7 @@
 #![cfg(test)]
 
 use super::{Event, Fault, Host, NODES, Stage, World, job};
+use crate::jobs::graph::Guard;
 use crate::node::{Core, Effect, Input, Method, Now};
 use crate::types::{OpId, Time, Wall};
 use crate::wire::state::{StateReply, StateRequest};
@@ -77,7 +78,7 @@
     for_a_while(w, 20_000, Fault::CloudOutage(true), Fault::CloudOutage(false));
 }
 
-fn run(seed: u64, mut w: World) {
+fn run(seed: u64, mut w: World) -> World {
     w.run_until(DAY_ENDS);
     assert!(w.rules.broken.is_empty(), "seed {seed}: {:?}", w.rules.broken);
     assert!(w.rules.started > 0, "seed {seed}: nothing ran");
@@ -97,6 +98,7 @@
         let up = w.workers.iter().flat_map(|w| &w.tasks).filter(|t| t.job() == u.id && t.present()).count();
         assert_eq!(up as u64, u.body["shards"].as_u64().unwrap_or(0), "seed {seed}: {} lacks replicas", u.id);
     }
+    w
 }
 
 #[test]
@@ -265,6 +267,116 @@
     assert!(open.is_empty(), "not done: {open:?}");
 }
 
+/// Pipelines of all forms: arrays, a gang between them, fan-out and fan-in, on earlier jobs, the last
+/// stage late, and some withdrawn on the way.
+fn pipelines(w: &mut World, from: u64, to: u64) {
+    for p in 0..6 {
+        let first = 100 + 10 * p;
+        let id = |n: usize| format!("req-{:06}", first + n);
+        let at = w.rng_ms(from, to);
+        let gone = w.rng.random_bool(0.4).then(|| (w.rng.random_range(0..5), at + w.rng_ms(500, 40_000)));
+        // An ordinary job of the day, which may be of another team, done or withdrawn by then.
+        let earlier = format!("req-{:06}", [0, 1, 3, 4][p % 4]);
+        let needs = [vec![earlier], vec![id(0)], vec![id(0)], vec![id(1), id(2)], vec![id(0), id(3), id(3)]];
+        for (n, needs) in needs.into_iter().enumerate() {
+            let shape = if n == 3 { "ensemble" } else { "array" };
+            let tasks = w.rng.random_range(1..if n == 1 { 12 } else { 4 });
+            let mut body = job(first + n, shape, tasks);
+            body["accelerators"] = 0.0.into();
+            body["vcpus"] = 1.0.into();
+            body["memory_gb"] = 0.5.into();
+            body["urgency"] = if n == 4 { "urgent" } else { "idle" }.into();
+            body["expected_s"] = w.rng.random_range(1.0..6.0).into();
+            body["awaits"] = serde_json::json!(needs);
+            let withdraw_at = gone.filter(|(which, _)| *which == n).map(|(_, at)| at);
+            w.add_user(at + n as u64, body, withdraw_at);
+            if let Some(user) = w.users.last_mut() {
+                user.late = n == 4 && p % 3 == 0;
+            }
+        }
+    }
+}
+
+#[test]
+fn pipelines_keep_their_order_through_troubles() {
+    for seed in 700..718 {
+        run(
+            seed,
+            day(seed, |w| {
+                w.run_until(1_000);
+                pipelines(w, 6_000, 60_000);
+                troubles(w);
+            }),
+        );
+    }
+}
+
+/// The version before dependencies serves at first; its processes are replaced one by one while
+/// troubles come, some days all at once in between; then the state service lowers its limits.
+fn upgrade_day(seed: u64, hard: bool) -> World {
+    let mut w = World::new(seed);
+    w.begin_old();
+    let ordinary = day(seed, |_| {});
+    for u in ordinary.users {
+        let at = w.rng_ms(500, 50_000);
+        w.add_user(at, u.body, u.withdraw_at);
+    }
+    let mut at = w.rng_ms(8_000, 20_000);
+    for i in 0..NODES {
+        w.at(at, Event::Fault(Fault::Upgrade(i)));
+        at += w.rng_ms(3_000, 9_000);
+        if hard && w.rng.random_bool(0.5) {
+            // Those whose turn hasn't come come back old.
+            (0..NODES).for_each(|i| w.at(at + i as u64, Event::Fault(Fault::Crash(i))));
+            at += 6_000;
+        }
+    }
+    w.at(at + 2_000, Event::Fault(Fault::Limits));
+    pipelines(&mut w, at, 75_000);
+    if hard {
+        troubles(&mut w);
+    }
+    w
+}
+
+#[test]
+fn an_upgrade_one_by_one_keeps_the_rules_and_ends_within_the_lower_limits() {
+    let more = std::env::var("PEARFORD_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(24);
+    for seed in 800..800 + more {
+        let w = upgrade_day(seed, seed % 4 != 0);
+        let w = run(seed, w);
+        assert!(w.state.too_large.is_empty(), "seed {seed}: over the limits: {:?}", w.state.too_large);
+    }
+}
+
+/// A node that never shows up with the new version holds back what it could not understand, and
+/// nothing else.
+#[test]
+fn dependent_jobs_are_taken_only_once_every_node_is_new() {
+    let taken_early = |sabotage: Option<fn(&mut Core, u64)>| {
+        let mut w = World::new(850);
+        w.begin_old();
+        w.sabotage = sabotage;
+        w.at(3_000, Event::Fault(Fault::Upgrade(0)));
+        w.at(6_000, Event::Fault(Fault::Upgrade(1)));
+        w.add_user(12_000, job(0, "array", 3), None);
+        let mut body = job(2, "array", 2);
+        body["awaits"] = serde_json::json!(["req-000000"]);
+        w.add_user(13_000, body, None);
+        w.users[1].node = Some(0);
+        w.run_until(60_000);
+        let early = w.rules.accepted("req-000002");
+        assert_eq!(early, w.state.key("j/req-000002").is_some());
+        assert_eq!(w.rules.verdict("req-000000"), Some("done"), "what both understand is served");
+        w.at(60_000, Event::Fault(Fault::Upgrade(2)));
+        w.run_until(100_000);
+        assert_eq!(w.rules.verdict("req-000002"), Some("done"), "then it is taken");
+        early
+    };
+    assert!(!taken_early(None));
+    assert!(taken_early(Some(|core, _| core.sabotage_level())), "the mark is what holds it back");
+}
+
 /// Whether some seed of a few breaks a rule under `faults` and a spoilt `world`.
 fn checker_notices(spoil: impl Fn(&mut World)) -> bool {
     (300..420).any(|seed| {
@@ -287,6 +399,20 @@
         core.sabotage_done_early();
     }
     assert!(checker_notices(|w| w.sabotage = Some(done_early)));
+    // Dependent jobs get a run at once; or a cancellation does not carry on to them.
+    let with_pipelines = |spoil: fn(&mut Core, u64)| {
+        (300..340).any(|seed| {
+            let mut w = World::new(seed);
+            pipelines(&mut w, 2_000, 30_000);
+            (0..5).for_each(|n| w.add_user(500, job(n, "array", 3), (n == 0).then_some(4_000)));
+            w.sabotage = Some(spoil);
+            w.run_until(DAY_ENDS);
+            !w.rules.broken.is_empty()
+        })
+    };
+    assert!(with_pipelines(|core, _| core.mirror.take_out(Guard::Order)));
+    assert!(with_pipelines(|core, _| core.mirror.take_out(Guard::Cancellation)));
+    assert!(!with_pipelines(|_, _| {}));
 }
 
 #[test]
