--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -122,7 +122,10 @@
         let o = &settings.operator;
         let seat = Seat::new(settings.node.clone(), Span::ms(o.leader_grant_ms), Span::ms(o.leader_renew_ms));
         let nodes = (settings.peers.len() + 1) as f64;
-        let user_writes = Budget::new((settings.state.write_rps * o.user_write_share / nodes).max(1.0));
+        // Each node has its part of the rate, but may use a second's worth of all parts at once: the
+        // jobs of a pipeline come over one connection, and all nodes seldom have bursts together.
+        let user_rate = (settings.state.write_rps * o.user_write_share).max(1.0);
+        let user_writes = Budget::bursting((user_rate / nodes).max(1.0), user_rate);
         Self {
             rng: StdRng::seed_from_u64(seed),
             now: Time::default(),
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// A token bucket: `rate` a second, bursts of one second's worth.
+/// A token bucket: `rate` a second, bursts of one second's worth unless said otherwise.
 #[derive(Debug)]
 pub struct Budget {
     rate: f64,
@@ -54,6 +54,11 @@
         self.at = now;
     }
 
+    /// As `new`, but with bursts of up to `burst`.
+    pub fn bursting(rate: f64, burst: f64) -> Self {
+        Self { burst, tokens: burst, ..Self::new(rate) }
+    }
+
     /// Whether more than half of a burst is left: then less urgent work may go too.
     pub fn ample(&mut self, now: Time) -> bool {
         self.refill(now);
@@ -89,5 +94,9 @@
         assert!(b.take(1.0, Time::from_ms(110)));
         assert!(b.take(12.0, Time::from_ms(5000)), "more than the bucket holds passes when it is full");
         assert!(!b.take(1.0, Time::from_ms(5100)));
+        // Users submit all jobs of a pipeline over one connection, that is at one node.
+        let mut b = Budget::bursting(5.0, 15.0);
+        assert_eq!((0..100).filter(|_| b.take(1.0, Time::from_ms(5))).count(), 15);
+        assert_eq!((0..100).filter(|_| b.take(1.0, Time::from_ms(1005))).count(), 5);
     }
 }
