--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -338,7 +338,9 @@
         for m in self.machines.values() {
             *per_zone.entry(m.zone.clone()).or_default() += 1;
             // Room that is free now is about to be used by what waits.
-            if m.free().gpus + 1e-6 >= least && (m.standing == Standing::Booting || m.open_for_tasks(now)) {
+            // Just after a take-over most have not been heard yet; their room will be there.
+            let soon = m.standing == Standing::Booting || (m.standing == Standing::Up && !m.heard());
+            if m.free().gpus + 1e-6 >= least && (soon || m.open_for_tasks(now)) {
                 let offer = Offer { type_name: m.type_name.clone(), zone: m.zone.clone(), spot: m.spot };
                 add(offer, m.free(), 1);
             }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -209,9 +209,16 @@
         }
     }
 
+    /// Whether this leader has heard the worker. The record of a machine that was returned may outlive
+    /// it, where its removal was not written before a take-over.
+    pub fn heard(&self) -> bool {
+        self.serial > 0
+    }
+
     /// Whether new tasks may go there.
     pub fn open_for_tasks(&self, now: Time) -> bool {
         self.standing == Standing::Up
+            && self.heard()
             && !self.draining
             && self.taken_at.is_none()
             && self.strays.is_empty()
@@ -530,6 +537,18 @@
 
     const MINE: Fence = Fence(9);
 
+    /// A new leader placed tasks on machines that its predecessor had returned a minute before, whose
+    /// records were still there, and waited for them to be given up (andina, inc-72db).
+    #[test]
+    fn nothing_is_placed_on_a_machine_that_this_leader_has_not_heard() {
+        let (mut m, _) = machine_with(EntryState::Inherited);
+        let now = Time::from_ms(9_000);
+        (m.standing, m.last_report) = (Standing::Up, Some(now));
+        assert!(!m.open_for_tasks(now));
+        m.digest(&report(1, 1, 9, ""), MINE, now);
+        assert!(m.open_for_tasks(now));
+    }
+
     #[test]
     fn silence_about_an_inherited_task_proves_nothing_until_the_worker_saw_the_fence() {
         let (mut m, _) = machine_with(EntryState::Inherited);
