--- a/src/ledger/journal.rs
+++ b/src/ledger/journal.rs
@@ -9,6 +9,17 @@
 use crate::wire::state::Change;
 use std::collections::{BTreeMap, VecDeque};
 
+/// How soon a change is to be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Haste {
+    /// Saves a later reader some work: while nothing else is to be written, or the budget is ample.
+    Idle,
+    /// Somebody waits for it, but not users: gets its part however much is urgent.
+    Soon,
+    /// A start or a verdict waits for it.
+    Urgent,
+}
+
 #[derive(Debug, Default)]
 struct Doc {
     stamp: Stamp,
@@ -16,6 +27,8 @@
     value: Option<String>,
     wanted: u64,
     saved: u64,
+    /// The most hasty queue that the key is in.
+    queued: Option<Haste>,
 }
 
 /// What one transaction settled: keys, and the version of each that is now durable.
@@ -37,7 +50,8 @@
     fence: Fence,
     docs: BTreeMap<String, Doc>,
     urgent: VecDeque<String>,
-    dirty: VecDeque<String>,
+    soon: VecDeque<String>,
+    idle: VecDeque<String>,
     in_flight: Option<Vec<(String, u64)>>,
     batches: u64,
     next_version: u64,
@@ -56,7 +70,8 @@
             fence,
             docs: BTreeMap::new(),
             urgent: VecDeque::new(),
-            dirty: VecDeque::new(),
+            soon: VecDeque::new(),
+            idle: VecDeque::new(),
             in_flight: None,
             batches: 0,
             next_version: 1,
@@ -81,18 +96,20 @@
     }
 
     /// Wants `value` under `key`; returns the version that `Settled` will name.
-    pub fn put(&mut self, key: &str, value: Option<String>, urgent: bool) -> u64 {
+    pub fn put(&mut self, key: &str, value: Option<String>, haste: Haste) -> u64 {
         let version = self.next_version;
         self.next_version += 1;
         let doc = self.docs.entry(key.into()).or_default();
-        let queued = doc.wanted > doc.saved;
         doc.value = value;
         doc.wanted = version;
-        let in_flight = self.in_flight.as_ref().is_some_and(|f| f.iter().any(|(k, _)| k == key));
-        if urgent {
-            self.urgent.push_back(key.into());
-        } else if !queued || in_flight {
-            self.dirty.push_back(key.into());
+        if doc.queued.is_none_or(|queued| queued < haste) {
+            doc.queued = Some(haste);
+            let queue = match haste {
+                Haste::Urgent => &mut self.urgent,
+                Haste::Soon => &mut self.soon,
+                Haste::Idle => &mut self.idle,
+            };
+            queue.push_back(key.into());
         }
         version
     }
@@ -107,13 +124,14 @@
     }
 
     pub fn backlog(&self) -> usize {
-        self.urgent.len() + self.dirty.len()
+        self.urgent.len() + self.soon.len() + self.idle.len()
     }
 
     /// Whether something waits that `next_batch` would take.
     pub fn wants(&self, ample: bool) -> bool {
         self.idle()
-            && (!self.urgent.is_empty() || (ample || self.turn_of_the_rest()) && !self.dirty.is_empty())
+            && (!self.urgent.is_empty()
+                || (ample || self.turn_of_the_rest()) && !(self.soon.is_empty() && self.idle.is_empty()))
     }
 
     /// However much is urgent, what isn't gets a part of every fourth transaction.
@@ -127,7 +145,7 @@
         if self.in_flight.is_some() {
             return None;
         }
-        let rest = ample || self.turn_of_the_rest();
+        let turn = self.turn_of_the_rest();
         self.batches += 1;
         let mut batch = Batch {
             conditions: vec![(self.leader_key.clone(), Stamp(self.fence.0))],
@@ -136,13 +154,21 @@
         };
         let mut bytes = 0;
         let max_ops = if self.singly > 0 { 1 } else { self.max_ops };
+        // Filled only from what urgent writes left, the rest had to wait for a minute and more
+        // (andina, inc-72db).
+        let first = if turn { max_ops / 2 } else { 0 };
         while batch.changes.len() < max_ops {
-            let next = match self.urgent.pop_front() {
-                None if rest => self.dirty.pop_front(),
-                urgent => urgent,
-            };
+            let mut next = None;
+            if batch.changes.len() < first {
+                next = self.soon.pop_front();
+            }
+            next = next.or_else(|| self.urgent.pop_front());
+            if next.is_none() && (ample || turn) {
+                next = self.soon.pop_front().or_else(|| self.idle.pop_front());
+            }
             let Some(key) = next else { break };
-            let Some(doc) = self.docs.get(&key) else { continue };
+            let Some(doc) = self.docs.get_mut(&key) else { continue };
+            doc.queued = None;
             if doc.wanted <= doc.saved || batch.versions.iter().any(|(k, _)| *k == key) {
                 continue;
             }
@@ -151,6 +177,7 @@
                 None => Change::Delete { key: key.clone() },
             };
             if bytes > 0 && bytes + change.size() > MAX_BYTES {
+                doc.queued = Some(Haste::Urgent);
                 self.urgent.push_front(key);
                 break;
             }
@@ -183,6 +210,9 @@
     /// Nothing known to be written: the same keys are tried again.
     pub fn failed(&mut self) {
         for (key, _) in self.in_flight.take().unwrap_or_default().into_iter().rev() {
+            if let Some(doc) = self.docs.get_mut(&key) {
+                doc.queued = Some(Haste::Urgent);
+            }
             self.urgent.push_front(key);
         }
     }
@@ -221,26 +251,26 @@
     fn a_late_transaction_and_its_successor_exclude_each_other() {
         let mut j = Journal::new("leader", Fence(9), 4);
         j.loaded("m/a", Stamp(3));
-        let v1 = j.put("m/a", Some("1".into()), false);
+        let v1 = j.put("m/a", Some("1".into()), Haste::Soon);
         let first = j.next_batch(true).expect("work");
         assert_eq!(first.conditions, [("leader".to_string(), Stamp(9)), ("m/a".to_string(), Stamp(3))]);
         assert!(j.next_batch(true).is_none(), "one in flight at a time");
-        let v2 = j.put("m/a", Some("2".into()), false);
+        let v2 = j.put("m/a", Some("2".into()), Haste::Soon);
         j.failed();
         let second = j.next_batch(true).expect("work");
         assert_eq!(second.conditions, first.conditions, "so that only one of them can be applied");
         assert_eq!(j.committed(12).keys, [("m/a".to_string(), v2)]);
         assert!(v1 < v2 && j.next_batch(true).is_none());
-        j.put("m/a", None, false);
+        j.put("m/a", None, Haste::Soon);
         assert_eq!(j.next_batch(true).expect("work").conditions[1].1, Stamp(12));
     }
 
     #[test]
     fn a_change_made_while_its_key_is_in_flight_is_written_too() {
         let mut j = Journal::new("leader", Fence(9), 4);
-        j.put("m/a", Some("1".into()), false);
+        j.put("m/a", Some("1".into()), Haste::Soon);
         j.next_batch(true).expect("work");
-        let v2 = j.put("m/a", Some("2".into()), false);
+        let v2 = j.put("m/a", Some("2".into()), Haste::Soon);
         j.committed(10);
         let batch = j.next_batch(true).expect("the second change");
         assert_eq!(batch.conditions[1].1, Stamp(10));
@@ -253,7 +283,7 @@
         let mut j = Journal::new("leader", Fence(9), 4);
         j.loaded("m/b", Stamp(3));
         for key in ["m/a", "m/b", "m/c"] {
-            j.put(key, Some("12345".into()), true);
+            j.put(key, Some("12345".into()), Haste::Urgent);
         }
         let mut written = Vec::new();
         let mut given_up = Vec::new();
@@ -269,7 +299,37 @@
         }
         assert_eq!((written, given_up), (vec!["m/a".into(), "m/c".into()], vec![("m/b".into(), 5)]));
         assert_eq!(j.stamp("m/b"), Stamp(3), "its stored value is still known");
-        j.put("m/b", Some("1".into()), true);
+        j.put("m/b", Some("1".into()), Haste::Urgent);
         assert!(j.next_batch(true).is_some_and(|b| b.changes.len() == 1), "and it may be written later");
     }
+
+    /// However much is urgent, removals and progress get their part; what only tidies up waits.
+    #[test]
+    fn a_flood_of_urgent_changes_leaves_the_others_their_part() {
+        let mut j = Journal::new("leader", Fence(9), 4);
+        j.put("m/idle", Some("1".into()), Haste::Idle);
+        (0..8).for_each(|i| {
+            j.put(&format!("m/soon{i}"), None, Haste::Soon);
+        });
+        let mut soon = 0;
+        for round in 0..16 {
+            (0..4).for_each(|i| {
+                j.put(&format!("m/u{round}-{i}"), Some("1".into()), Haste::Urgent);
+            });
+            let batch = j.next_batch(false).expect("work");
+            assert_eq!(batch.changes.len(), 4);
+            soon += batch.changes.iter().filter(|c| c.key().starts_with("m/soon")).count();
+            assert!(batch.changes.iter().all(|c| c.key() != "m/idle"));
+            j.committed(10 + round);
+        }
+        assert_eq!(soon, 8);
+        j.put("m/idle", Some("2".into()), Haste::Urgent);
+        let keys = |b: Batch| b.changes.iter().map(|c| c.key().to_string()).collect::<Vec<_>>();
+        let mut written = Vec::new();
+        while let Some(batch) = j.next_batch(true) {
+            written.extend(keys(batch));
+            j.committed(90);
+        }
+        assert_eq!(written.iter().filter(|k| *k == "m/idle").count(), 1, "once, though queued twice");
+    }
 }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -5,7 +5,7 @@
 
 mod journal;
 
-pub use journal::{Batch, Journal, Settled};
+pub use journal::{Batch, Haste, Journal, Settled};
 
 use crate::types::{Attempt, Image, MachineId, Room, Session, TaskId, TeamName, Time, TypeName, Zone};
 use serde::{Deserialize, Serialize};
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -12,7 +12,7 @@
 use crate::gangs::{self, Attempts};
 use crate::jobs::{self, JobSpec, Priority, Record, Run, Shape};
 use crate::leader;
-use crate::ledger::{self, Entry, EntryState, Journal, MachineRecord};
+use crate::ledger::{self, Entry, EntryState, Haste, Journal, MachineRecord};
 use crate::placement::{self, Learned, MachineView, Proposal, TaskAsk};
 use crate::preemption::{self, Candidate, Victim};
 use crate::settings::Settings;
--- a/src/node/master/stock.rs
+++ b/src/node/master/stock.rs
@@ -48,7 +48,7 @@
                     }
                 }
                 _ => {
-                    self.journal.put(&pair.key, None, false);
+                    self.journal.put(&pair.key, None, Haste::Soon);
                 }
             }
         }
@@ -105,7 +105,7 @@
                 // nothing urgent waits.
                 let key = jobs::key(id);
                 self.journal.loaded(&key, known.stamp);
-                self.journal.put(&key, Some(Record::Withdrawn.to_value()), false);
+                self.journal.put(&key, Some(Record::Withdrawn.to_value()), Haste::Soon);
             }
         } else if let Some(job) = known.record.open().filter(|_| mirror.ready(id)) {
             self.journal.loaded(&jobs::key(id), known.stamp);
@@ -162,7 +162,7 @@
             let key = format!("{PROGRESS_PREFIX}{id}/{chunk}");
             self.recorded.remove(&key);
             if self.journal.stamp(&key) > Stamp(0) {
-                self.journal.put(&key, None, false);
+                self.journal.put(&key, None, Haste::Soon);
             }
         }
         self.recorded.remove(&jobs::key(id));
@@ -291,7 +291,7 @@
             let key = format!("{PROGRESS_PREFIX}{}/{chunk}", task.job);
             let value = self.runs.get(&task.job).map(|r| r.done().chunk_value(chunk));
             // Not urgent: until it is written the worker goes on reporting the task as done.
-            let version = self.journal.put(&key, value, false);
+            let version = self.journal.put(&key, value, Haste::Soon);
             (key, version)
         };
         let recorded = Recorded { version, machine: machine.clone(), task: task.clone() };
@@ -305,7 +305,7 @@
         if let Some(run) = self.runs.get_mut(id) {
             run.finishing = true;
         }
-        let version = self.journal.put(&key, Some(Record::Done.to_value()), true);
+        let version = self.journal.put(&key, Some(Record::Done.to_value()), Haste::Urgent);
         (key, version)
     }
 
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -198,7 +198,7 @@
         }
         self.dirty.remove(id);
         if self.journal.holds(&ledger::key(id)) {
-            self.journal.put(&ledger::key(id), None, false);
+            self.journal.put(&ledger::key(id), None, Haste::Soon);
         }
     }
 
@@ -250,7 +250,9 @@
                 .filter(|(t, e)| e.state == EntryState::Planned && !m.planned.contains_key(*t))
                 .map(|(t, _)| t.clone())
                 .collect();
-            let version = self.journal.put(&ledger::key(&id), Some(value), !planned.is_empty());
+            // Starts wait for it; what has only left is proved gone again by whoever reads it.
+            let haste = if planned.is_empty() { Haste::Idle } else { Haste::Urgent };
+            let version = self.journal.put(&ledger::key(&id), Some(value), haste);
             for task in planned {
                 m.planned.insert(task, version);
             }
