--- a/src/node/world/tests.rs
+++ b/src/node/world/tests.rs
@@ -210,6 +210,73 @@
     }
 }
 
+/// Cuts (or mends) a zone off from everything else.
+fn cut_zone(w: &mut World, zone: usize, on: bool) {
+    let name = format!("z{zone}");
+    let inside = |w: &World, h: Host| match h {
+        Host::Node(i) => i == zone,
+        Host::Machine(m) => w.workers[m].zone == name,
+        _ => false,
+    };
+    let nodes = (0..NODES).map(Host::Node);
+    let machines = (0..w.workers.len()).map(Host::Machine);
+    let hosts: Vec<Host> = nodes.chain(machines).chain([Host::State, Host::Cloud, Host::User]).collect();
+    for (n, a) in hosts.iter().enumerate() {
+        for b in &hosts[n + 1..] {
+            if inside(w, *a) != inside(w, *b) {
+                w.at(w.now, Event::Fault(Fault::Cut { a: *a, b: *b, on, late: false }));
+            }
+        }
+    }
+}
+
+/// A cut zone's workers gave up their tasks after their lease, though a node in the zone could keep
+/// them; and those that came back last were taken for lost (andina, inc-72db: 346 machines).
+#[test]
+fn a_zone_cut_off_for_a_while_goes_on_working_inside() {
+    for seed in 900..906 {
+        let mut w = World::new(seed);
+        for n in 0..12 {
+            let mut body = job(n, "daemon", 2);
+            body["preemptible"] = false.into();
+            body["spread"] = true.into();
+            w.add_user(500 + n as u64, body, None);
+        }
+        w.run_until(40_000);
+        let leads = |w: &World, i: usize| {
+            let at = Time::from_ms(1_000_000 + w.now);
+            w.nodes[i].core.as_ref().is_some_and(|c| c.seat.valid(at))
+        };
+        let zone = (0..NODES).find(|i| !leads(&w, *i)).expect("somebody follows");
+        let running = |w: &World| -> Vec<(String, u64)> {
+            let here = w.workers.iter().filter(|m| m.zone == format!("z{zone}"));
+            here.flat_map(|m| &m.tasks).filter(|t| t.present()).map(|t| (t.name.clone(), t.attempt)).collect()
+        };
+        let before = running(&w);
+        assert!(!before.is_empty(), "seed {seed}: nothing runs in the zone");
+        cut_zone(&mut w, zone, true);
+        w.run_until(76_000);
+        assert_eq!(running(&w), before, "seed {seed}: the lease of 18 s is over, a node inside keeps them");
+        cut_zone(&mut w, zone, false);
+        w.run_until(100_000);
+        assert_eq!(running(&w), before, "seed {seed}: nor are they given up once the cut is over");
+        run(seed, w);
+    }
+}
+
+/// ... but not for longer than a withdrawal may take that nobody inside could see.
+#[test]
+fn a_zone_cut_off_for_long_keeps_the_rules() {
+    for seed in 910..916 {
+        let mut w = day(seed, |_| {});
+        w.run_until(25_000);
+        cut_zone(&mut w, seed as usize % NODES, true);
+        w.run_until(100_000);
+        cut_zone(&mut w, seed as usize % NODES, false);
+        run(seed, w);
+    }
+}
+
 /// However many users ask at once, reads for them stay within the node's part of the rate.
 #[test]
 fn a_rush_of_questions_shares_few_reads() {
