--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -322,7 +322,7 @@
         self.master_pump();
     }
 
-    pub(super) fn state_ok(&self) -> bool {
+    fn state_ok(&self) -> bool {
         self.mirror.epoch().is_some() && self.now.since(self.state_ok_at) < Span::ms(2500)
     }
 
--- a/src/node/master/mod.rs
+++ b/src/node/master/mod.rs
@@ -45,8 +45,6 @@
 const ZONE_SILENT: f64 = 0.34;
 /// A cut-off worker kills its tasks when its lease ends; shortly before, waiting gains no more.
 const LEASE_MARGIN_S: f64 = 2.0;
-/// A node that fell silent this shortly before or after its zone is cut off with it, and keeps it.
-const CUT_TOGETHER: Span = Span::ms(5000);
 /// Workers that are told the fence directly at a time.
 const PUSHES_AT_ONCE: usize = 8;
 /// How long nothing is placed on a machine whose record the state service refuses.
@@ -166,10 +164,6 @@
     next_housekeeping: Time,
     next_retry: Time,
     silent_since: Option<Time>,
-    /// When each zone was last found cut off.
-    cut_at: BTreeMap<Zone, Time>,
-    /// Until when a node inside a cut zone may keep its workers.
-    kept_until: BTreeMap<Zone, Time>,
     rent_not_before: Time,
     /// Machines whose release is under way.
     releasing: BTreeSet<MachineId>,
@@ -362,8 +356,6 @@
             next_housekeeping: now,
             next_retry: now,
             silent_since: None,
-            cut_at: BTreeMap::new(),
-            kept_until: BTreeMap::new(),
             rent_not_before: now,
             releasing: BTreeSet::new(),
             to_push: BTreeSet::new(),
@@ -389,12 +381,6 @@
     }
 }
 
-/// How long after its last full look at the job records a node may go on renewing workers' leases.
-fn hold(settings: &Settings) -> Span {
-    let w = &settings.workers;
-    Span::secs(w.cancel_s - w.lease_s - HOLD_MARGIN_S)
-}
-
 impl Core {
     fn master_valid(&self) -> bool {
         self.master.is_some() && self.seat.valid(self.now)
@@ -413,31 +399,9 @@
     /// ends `lease_s` after the last answer, and the task must be gone `cancel_s` after the
     /// withdrawal; so answering until `fresh_at + cancel_s - lease_s` is safe, less a margin.
     fn may_renew(&self) -> bool {
-        self.seat.leads() && self.now.since(self.fresh_at) < hold(&self.settings)
-    }
-
-    /// Whether this node, though not leading, keeps its own zone's workers: the zone is cut off from
-    /// the state service and all other zones, and no leader can reach them. Their leases would end
-    /// long before such a cut does. It gives no orders, and the same bound as above holds.
-    fn keeps_zone(&self, report: &Report) -> bool {
-        let now = self.now;
-        let mut elsewhere = self.settings.peers.iter().filter(|p| p.zone != self.settings.zone).peekable();
-        let silent = |p: &crate::settings::Peer| {
-            self.peers.get(&p.name).is_none_or(|s| now.since(s.heard) >= PEER_SILENCE)
-        };
-        // A task of a job that is over has to end; its worker is left to its lease.
-        let over = |t: &workers::ReportedTask| {
-            t.phase != workers::TaskPhase::Exited
-                && t.task().is_some_and(|t| self.mirror.verdict(&t.job).is_some())
-        };
-        report.zone == self.settings.zone
-            && elsewhere.peek().is_some()
-            && elsewhere.all(silent)
-            && !self.state_ok()
-            && self.leader_known().is_none()
-            && self.top_fence > Fence(0)
-            && now.since(self.fresh_at) < hold(&self.settings)
-            && !report.tasks.iter().any(over)
+        let w = &self.settings.workers;
+        let hold = Span::secs(w.cancel_s - w.lease_s - HOLD_MARGIN_S);
+        self.seat.leads() && self.now.since(self.fresh_at) < hold
     }
 
     // ---- taking and losing the lead ----
@@ -557,10 +521,6 @@
         let now = self.now;
         let Some(master) = self.master.as_mut().filter(|_| may_renew) else {
             self.heard_worker = now;
-            if self.keeps_zone(&report) {
-                let text = workers::answer(self.top_fence, &[]);
-                return self.answer(request, 200, text);
-            }
             return self.redirect(request);
         };
         if master.tombs.contains_key(&report.machine) {
@@ -819,15 +779,7 @@
         let Some(master) = &mut self.master else { return };
         master.drain_warned(now);
         master.mend_gangs(now);
-        let mut keepers: BTreeMap<Zone, Time> = BTreeMap::new();
-        for peer in &self.settings.peers {
-            let heard = self.peers.get(&peer.name).map(|s| s.heard);
-            if let Some(heard) = heard.filter(|at| now.since(*at) >= PEER_SILENCE) {
-                let last = keepers.entry(peer.zone.clone()).or_insert(heard);
-                *last = heard.max(*last);
-            }
-        }
-        master.find_lost(&self.zones_heard, &keepers, now);
+        master.find_lost(&self.zones_heard, now);
         for (id, addr, body) in master.silent_workers(now) {
             let op = self.op();
             self.fx.push(Effect::Worker { op, addr, body, patience: PROBE_PATIENCE });
--- a/src/node/master/upkeep.rs
+++ b/src/node/master/upkeep.rs
@@ -69,14 +69,7 @@
 
     /// Machines that fell silent, or never came up, are returned: the cloud's 200 is the quick
     /// proof that their tasks are gone.
-    ///
-    /// `keepers`: zones with a node that has fallen silent, and when that was last heard.
-    pub(super) fn find_lost(
-        &mut self,
-        zones_heard: &BTreeMap<Zone, Time>,
-        keepers: &BTreeMap<Zone, Time>,
-        now: Time,
-    ) {
+    pub(super) fn find_lost(&mut self, zones_heard: &BTreeMap<Zone, Time>, now: Time) {
         let o = &self.settings.operator;
         let report = Span::secs(self.settings.workers.report_s);
         let suspect = self.silent_since.is_some_and(|at| now.since(at) < report.times(SUSPECT_REPORTS));
@@ -89,44 +82,21 @@
         }
         // A zone that is cut off goes on working inside until its workers' leases end: returning its
         // machines before would only stop what runs.
-        // A node there that fell silent with it says the same of a zone with few machines.
-        let with_node = |zone: &Zone| match (zones_heard.get(zone), keepers.get(zone)) {
-            (Some(heard), Some(node)) => node.since(*heard).max(heard.since(*node)) <= CUT_TOGETHER,
-            _ => false,
-        };
-        let quiet = |zone: &Zone| zones_heard.get(zone).is_some_and(|heard| now.since(*heard) > late);
-        let mostly = |silent: u32, all: u32| silent > 2 && f64::from(silent) > f64::from(all) * ZONE_SILENT;
         let cut: BTreeSet<Zone> = zones
             .into_iter()
-            .filter(|(zone, (all, silent))| mostly(*silent, *all) || (with_node(zone) && quiet(zone)))
+            .filter(|(_, (all, silent))| *silent > 2 && f64::from(*silent) > f64::from(*all) * ZONE_SILENT)
             .map(|(zone, _)| zone.clone())
             .collect();
-        cut.iter().for_each(|zone| {
-            self.cut_at.insert(zone.clone(), now);
-        });
         let lost_after = report.times(o.lost_reports);
         let lease_ends = Span::secs(self.settings.workers.lease_s - LEASE_MARGIN_S);
-        // A node that is cut off with the zone keeps its workers' leases for a while longer. It may be
-        // heard again before they are.
-        for zone in &cut {
-            let Some(heard) = zones_heard.get(zone) else { continue };
-            if with_node(zone) {
-                self.kept_until.insert(zone.clone(), *heard + lease_ends + hold(&self.settings));
-            }
-        }
         for m in self.machines.values_mut() {
             let lost = match (m.standing, m.last_report) {
                 (Standing::Up, Some(at)) if cut.contains(&m.zone) => {
                     let heard = zones_heard.get(&m.zone).map_or(at, |heard| at.min(*heard));
-                    let kept = self.kept_until.get(&m.zone).is_some_and(|until| now < *until);
-                    !suspect && !kept && now.since(heard) > lost_after.max(lease_ends)
+                    !suspect && now.since(heard) > lost_after.max(lease_ends)
                 }
                 (Standing::Up, Some(at)) => {
-                    // Once most of a cut zone's workers are back, the others have not been silent for
-                    // longer than that says.
-                    let back = self.cut_at.get(&m.zone).map_or(at, |cut| at.max(*cut));
-                    let asked = m.unanswered >= PROBES_LOST && now.since(back) > late;
-                    !suspect && (now.since(back) > lost_after || asked)
+                    !suspect && (now.since(at) > lost_after || m.unanswered >= PROBES_LOST)
                 }
                 (Standing::Booting, _) => self
                     .market
@@ -436,10 +406,10 @@
         let asked = m.silent_workers(at);
         assert_eq!(asked.iter().map(|(id, ..)| id.as_str()).collect::<Vec<_>>(), ["m-0"]);
         m.machines.get_mut(&MachineId::from("m-0")).expect("there").unanswered = PROBES_LOST - 1;
-        m.find_lost(&BTreeMap::new(), &BTreeMap::new(), at);
+        m.find_lost(&BTreeMap::new(), at);
         assert!(lost(&m).is_empty(), "one lost answer proves little");
         m.machines.get_mut(&MachineId::from("m-0")).expect("there").unanswered = PROBES_LOST;
-        m.find_lost(&BTreeMap::new(), &BTreeMap::new(), at);
+        m.find_lost(&BTreeMap::new(), at);
         assert_eq!(lost(&m), ["m-0"]);
     }
 
@@ -452,7 +422,7 @@
         let hear_others = |m: &mut Master, heard: &BTreeMap<Zone, Time>, at: Time, serial: u64| {
             (4..9).for_each(|i| m.take_report(&report(&format!("m-{i}"), "z1", serial), at));
             m.machines.values_mut().filter(|m| m.zone == "z0".into()).for_each(|m| m.unanswered = 9);
-            m.find_lost(heard, &BTreeMap::new(), at);
+            m.find_lost(heard, at);
         };
         let unknown = BTreeMap::new();
         hear_others(&mut m, &unknown, Time::from_ms(1_000 + lease - 2_500), 2);
