--- a/src/node/world/tests.rs
+++ b/src/node/world/tests.rs
@@ -210,6 +210,39 @@
     }
 }
 
+/// Cuts (or mends) a zone off from everything else.
+fn cut_zone(w: &mut World, zone: usize, on: bool) {
+    let name = format!("z{zone}");
+    let inside = |w: &World, h: Host| match h {
+        Host::Node(i) => i == zone,
+        Host::Machine(m) => w.workers[m].zone == name,
+        _ => false,
+    };
+    let nodes = (0..NODES).map(Host::Node);
+    let machines = (0..w.workers.len()).map(Host::Machine);
+    let hosts: Vec<Host> = nodes.chain(machines).chain([Host::State, Host::Cloud, Host::User]).collect();
+    for (n, a) in hosts.iter().enumerate() {
+        for b in &hosts[n + 1..] {
+            if inside(w, *a) != inside(w, *b) {
+                w.at(w.now, Event::Fault(Fault::Cut { a: *a, b: *b, on, late: false }));
+            }
+        }
+    }
+}
+
+/// Tasks of a cut zone run on until their leases end; they may not start elsewhere before.
+#[test]
+fn a_zone_cut_off_for_long_keeps_the_rules() {
+    for seed in 910..916 {
+        let mut w = day(seed, |_| {});
+        w.run_until(25_000);
+        cut_zone(&mut w, seed as usize % NODES, true);
+        w.run_until(100_000);
+        cut_zone(&mut w, seed as usize % NODES, false);
+        run(seed, w);
+    }
+}
+
 /// However many users ask at once, reads for them stay within the node's part of the rate.
 #[test]
 fn a_rush_of_questions_shares_few_reads() {
