--- a/src/node/world/mod.rs
+++ b/src/node/world/mod.rs
@@ -143,12 +143,22 @@
     pub id: String,
     pub body: Value,
     pub withdraw_at: Option<u64>,
-    /// Submits only once all jobs that it names are over, not as soon as they are accepted.
-    pub late: bool,
+    pub submits: Submits,
     /// The only node it asks, where not any.
     pub node: Option<usize>,
     ask: u64,
     pub stage: Stage,
+    /// The last answer's status and body.
+    pub told: (u16, String),
+}
+
+/// When a user submits, with regard to the jobs that the submission names.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Submits {
+    /// At once, which users don't.
+    Rashly,
+    OnceAccepted,
+    OnceOver,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -444,10 +454,11 @@
             id,
             body,
             withdraw_at,
-            late: false,
+            submits: Submits::OnceAccepted,
             node: None,
             ask: 0,
             stage: Stage::Submitting,
+            told: Default::default(),
         });
         self.at(at, Event::User(self.users.len() - 1));
     }
@@ -461,15 +472,16 @@
         }
         let ready = |need: &Value| {
             let need = need.as_str().unwrap_or_default();
-            match self.users[u].late {
-                true => self.rules.verdict(need).is_some(),
-                false => self.rules.accepted(need),
+            match self.users[u].submits {
+                Submits::Rashly => true,
+                Submits::OnceAccepted => self.rules.accepted(need),
+                Submits::OnceOver => self.rules.verdict(need).is_some(),
             }
         };
         if self.users[u].stage == Stage::Submitting
             && !self.users[u].body["awaits"].as_array().into_iter().flatten().all(ready)
         {
-            return self.after(400, Event::User(u));
+            return self.after(40, Event::User(u));
         }
         let user = &mut self.users[u];
         user.ask += 1;
@@ -499,6 +511,7 @@
         }
         self.users[u].ask += 1;
         let user = &mut self.users[u];
+        user.told = (status, body.to_string());
         let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
         let phase = value["phase"].as_str().unwrap_or_default().to_string();
         self.rules.answered(self.now, &user.id, user.stage == Stage::Submitting, status, &phase);
--- a/src/node/world/rules.rs
+++ b/src/node/world/rules.rs
@@ -83,8 +83,9 @@
     fn line(&self, job: &str) -> BTreeSet<String> {
         let (mut seen, mut next) = (BTreeSet::new(), vec![job.to_string()]);
         while let Some(job) = next.pop() {
-            next.extend(self.needs(&job));
-            seen.insert(job);
+            if seen.insert(job.clone()) {
+                next.extend(self.needs(&job));
+            }
         }
         seen
     }
@@ -147,9 +148,15 @@
         let line: Vec<&Told> = self.line(id).iter().filter_map(|j| self.told.get(j)).collect();
         let withdraw_asked = line.iter().any(|t| t.withdraw_asked);
         let orphan = line.iter().filter_map(|t| t.withdrawn_at).any(|at| now > at + self.cancel_ms);
+        let named = self.needs(id);
+        let service = |n: &String| self.bodies.get(n).is_some_and(|b| b["shape"] == "daemon");
+        let known = named.iter().all(|n| self.accepted(n) && !service(n) && n != id);
         let t = self.told.entry(id.into()).or_default();
         let mut bad = Vec::new();
         match status {
+            422 if submitting && !named.is_empty() && known => {
+                bad.push(format!("refused: {id}, though all that it names was accepted"));
+            }
             200 | 201 => {
                 t.accepted = true;
                 if let Some(v) = &t.verdict
--- a/src/node/world/tests.rs
+++ b/src/node/world/tests.rs
@@ -2,7 +2,7 @@
 
 #![cfg(test)]
 
-use super::{Event, Fault, Host, NODES, Stage, World, job};
+use super::{Event, Fault, Host, NODES, Stage, Submits, World, job};
 use crate::jobs::graph::Guard;
 use crate::node::{Core, Effect, Input, Method, Now};
 use crate::types::{OpId, Time, Wall};
@@ -323,8 +323,8 @@
             body["awaits"] = serde_json::json!(needs);
             let withdraw_at = gone.filter(|(which, _)| *which == n).map(|(_, at)| at);
             w.add_user(at + n as u64, body, withdraw_at);
-            if let Some(user) = w.users.last_mut() {
-                user.late = n == 4 && p % 3 == 0;
+            if let Some(user) = w.users.last_mut().filter(|_| n == 4 && p % 3 == 0) {
+                user.submits = Submits::OnceOver;
             }
         }
     }
@@ -344,6 +344,43 @@
     }
 }
 
+/// What a job names decides only if its id is unknown; the answer says what is wrong with which name.
+#[test]
+fn a_submission_is_told_what_is_wrong_with_what_it_names() {
+    let mut w = World::new(760);
+    w.add_user(2_000, job(0, "array", 1), None);
+    w.add_user(2_000, job(1, "daemon", 1), None);
+    w.add_user(2_000, job(3, "array", 1), Some(4_000));
+    w.run_until(9_000);
+    let mut ask = |n: usize, awaits: serde_json::Value| {
+        let mut body = job(n, "array", 1);
+        body["awaits"] = awaits;
+        let at = w.now;
+        w.add_user(at, body, None);
+        w.users.last_mut().expect("just added").submits = Submits::Rashly;
+        w.run_until(at + 1_000);
+        w.users.last().expect("just added").told.clone()
+    };
+    let list = |names: &[&str]| serde_json::json!(names);
+    let many: Vec<String> = (0..2000).map(|n| format!("req-{n:06}")).collect();
+    for (awaits, status, says) in [
+        (list(&["req-000777"]), 422, "req-000777"),
+        (list(&["req-000000", "req-000001"]), 422, "`req-000001` is a service"),
+        (list(&["req-000020"]), 422, "itself"),
+        (list(&["req-000000", "x"]), 400, "awaits"),
+        (serde_json::json!("req-000000"), 400, "awaits"),
+        (serde_json::json!(many), 422, "state service stores"),
+    ] {
+        let (told, why) = ask(20, awaits.clone());
+        assert!(told == status && why.contains(says), "{awaits:.60}: {told} {why}");
+    }
+    assert_eq!(ask(21, serde_json::Value::Null).0, 201, "null is an ordinary job");
+    let (told, phase) = ask(22, list(&["req-000003", "req-000000"]));
+    assert!(told == 200 || told == 201, "a withdrawn job may be named: {told}");
+    assert!(phase.contains("withdrawn"), "{phase}");
+    assert_eq!(ask(22, list(&["req-000777"])).0, 200, "a retry gets its state whatever it names");
+}
+
 /// The version before dependencies serves at first; its processes are replaced one by one while
 /// troubles come, some days all at once in between; then the state service lowers its limits.
 fn upgrade_day(seed: u64, hard: bool) -> World {
--- a/src/wire/users.rs
+++ b/src/wire/users.rs
@@ -36,8 +36,9 @@
     snapshot_s: f64,
     #[serde(default)]
     due_s: Option<f64>,
+    /// Read by hand, so that the error names the field.
     #[serde(default)]
-    awaits: Option<Vec<String>>,
+    awaits: serde_json::Value,
 }
 
 #[derive(Deserialize)]
@@ -112,10 +113,14 @@
     if s.due_s.is_some_and(|d| d <= 0.0) {
         return Err("due_s: must be above 0 or null".into());
     }
-    let mut needs: Vec<JobId> = Vec::new();
-    let mut named: BTreeSet<JobId> = BTreeSet::new();
-    for need in s.awaits.iter().flatten() {
-        let need = job_id(need).ok_or("awaits: must be a list of job ids like req-000412")?;
+    const NOT_IDS: &str = "awaits: must be a list of job ids like req-000412, or null";
+    let listed = match &s.awaits {
+        serde_json::Value::Null => &[][..],
+        value => value.as_array().ok_or(NOT_IDS)?,
+    };
+    let (mut needs, mut named) = (Vec::new(), BTreeSet::new());
+    for need in listed {
+        let need = need.as_str().and_then(job_id).ok_or(NOT_IDS)?;
         if named.insert(need.clone()) {
             needs.push(need);
         }
