A workspace: the core as crates/scheduler without I/O, the program as crates/pearford

Need: features (Nomad's door first) come as packages of their own, beside the core and below the program; the core must be usable without sockets.

Change: sources moved by git mv, the async shell into the program; shared versions and lints in the workspace.

--- a/src/main.rs
+++ b/crates/pearford/src/main.rs
@@ -1,7 +1,9 @@
 #![forbid(unsafe_code)]
 
+mod shell;
+
 use clap::{Args, Parser, Subcommand};
-use pearford::settings::{self, Settings};
+use pearford_scheduler::settings::{self, Settings};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -81,7 +83,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(pearford::node::shell::run(settings)) {
+    match runtime.block_on(shell::run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("pearford: can't listen: {error}; check api_addr and back in the settings");
--- a/src/node/shell.rs
+++ b/crates/pearford/src/shell.rs
@@ -1,10 +1,5 @@
 //! The only async code: sockets, clocks and randomness around the core.
 
-use super::{Core, Effect, Input, Method, Now};
-use crate::settings::{Peer, Settings};
-use crate::types::{NodeName, OpId, Span, Time, Wall};
-use crate::wire::MAX_BODY;
-use crate::wire::state::StateReply;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{SinkExt, Stream, StreamExt};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,6 +7,11 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use pearford_scheduler::node::{Core, Effect, Input, Method, Now};
+use pearford_scheduler::settings::{Peer, Settings};
+use pearford_scheduler::types::{NodeName, OpId, Span, Time, Wall};
+use pearford_scheduler::wire::MAX_BODY;
+use pearford_scheduler::wire::state::StateReply;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -140,7 +140,7 @@
                 let got = fetch(&client, cloud_addr, method, &path, body, patience).await;
                 let reply = match got {
                     Some((status, body)) => request.reply(status, &body),
-                    None => crate::wire::cloud::CloudReply::Unknown,
+                    None => pearford_scheduler::wire::cloud::CloudReply::Unknown,
                 };
                 Input::Cloud { op, reply }
             }
@@ -232,7 +232,8 @@
     let body = match read_body(length, body).await {
         Ok(body) => body,
         Err((status, why)) => {
-            let reply = Reply { status, retry_after_s: None, body: crate::wire::users::error(why) };
+            let reply =
+                Reply { status, retry_after_s: None, body: pearford_scheduler::wire::users::error(why) };
             return respond(reply, true);
         }
     };
@@ -242,7 +243,11 @@
         _ => Method::Other,
     };
     let (reply, answer) = oneshot::channel();
-    let busy = |why| Reply { status: 503, retry_after_s: Some(1), body: crate::wire::users::error(why) };
+    let busy = |why| Reply {
+        status: 503,
+        retry_after_s: Some(1),
+        body: pearford_scheduler::wire::users::error(why),
+    };
     if tx.try_send(Message::Http { method, path, body, reply }).is_err() {
         return respond(busy("too many requests wait here; come back"), false);
     }
@@ -314,7 +319,7 @@
             let mut frames = Framed::new(stream, codec());
             // Peers speak every second: a connection silent for long is dead.
             while let Ok(Some(Ok(frame))) = timeout(Duration::from_secs(15), frames.next()).await {
-                match crate::blocks::decode(&frame) {
+                match pearford_scheduler::blocks::decode(&frame) {
                     Some(envelope) => {
                         if tx.send(Message::Input(Input::Peer(envelope))).await.is_err() {
                             break;
--- a/src/node/mod.rs
+++ b/crates/scheduler/src/node/mod.rs
@@ -1,8 +1,7 @@
-//! A node: the core that joins the slices, and beside it the shell that does what it says.
+//! A node: the core that joins the slices. The program has the shell that does what it says.
 
 mod core;
 mod master;
-pub mod shell;
 #[cfg(test)]
 mod world;
 
