--- a/crates/scheduler/src/compat/mod.rs
+++ b/crates/scheduler/src/compat/mod.rs
@@ -132,7 +132,7 @@
         }
     }
 
-    #[cfg(test)]
+    #[cfg(any(test, feature = "world"))]
     pub(crate) fn sabotage_reached(&mut self) {
         self.reached = OURS;
     }
--- a/crates/scheduler/src/jobs/graph.rs
+++ b/crates/scheduler/src/jobs/graph.rs
@@ -26,13 +26,13 @@
     /// Who waits for a job, be that known or not.
     dependents: BTreeMap<JobId, Vec<JobId>>,
     /// A guard to take out, for proving that the test world's checker notices.
-    #[cfg(test)]
+    #[cfg(any(test, feature = "world"))]
     pub(crate) without: Option<Guard>,
 }
 
-#[cfg(test)]
+#[cfg(any(test, feature = "world"))]
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Guard {
+pub enum Guard {
     /// Jobs wait for what they need.
     Order,
     /// Jobs are withdrawn with what they need.
@@ -42,7 +42,7 @@
 impl Graph {
     /// Whether the job waits for others, or is withdrawn with one.
     pub fn waits(&self, id: &JobId) -> bool {
-        #[cfg(test)]
+        #[cfg(any(test, feature = "world"))]
         if self.without == Some(Guard::Order) {
             return false;
         }
@@ -124,7 +124,7 @@
 
     /// Withdraws `id` and all that need it, directly or through others.
     fn doom(&mut self, id: &JobId) -> Vec<JobId> {
-        #[cfg(test)]
+        #[cfg(any(test, feature = "world"))]
         if self.without == Some(Guard::Cancellation) {
             return Vec::new();
         }
--- a/crates/scheduler/src/jobs/mod.rs
+++ b/crates/scheduler/src/jobs/mod.rs
@@ -1,7 +1,7 @@
 //! Jobs: what users asked for, the durable record of each, and every node's mirror of them.
 
 mod desk;
-pub(crate) mod graph;
+pub mod graph;
 mod run;
 
 pub use desk::{Ask, Desk, Refusal, Waiting};
@@ -18,6 +18,8 @@
 
 /// Prefix of job records in the state service.
 pub const PREFIX: &str = "j/";
+/// Prefix of the records of which tasks are done.
+pub const PROGRESS_PREFIX: &str = "p/";
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Shape {
@@ -201,8 +203,8 @@
     /// something: free to run, withdrawn, or of another priority.
     changed: Vec<JobId>,
     /// As the version before dependencies does.
-    #[cfg(test)]
-    pub skip_dependent: bool,
+    #[cfg(any(test, feature = "world"))]
+    pub(crate) skip_dependent: bool,
 }
 
 impl Mirror {
@@ -228,7 +230,7 @@
     pub fn graph(&self) -> &Graph {
         &self.graph
     }
-    #[cfg(test)]
+    #[cfg(any(test, feature = "world"))]
     pub(crate) fn take_out(&mut self, guard: graph::Guard) {
         self.graph.without = Some(guard);
     }
@@ -278,7 +280,7 @@
 
     pub fn learn_pair(&mut self, pair: &Pair) {
         let Some(id) = pair.key.strip_prefix(PREFIX) else { return };
-        #[cfg(test)]
+        #[cfg(any(test, feature = "world"))]
         if self.skip_dependent && pair.value.starts_with("{\"dependent\"") {
             return;
         }
@@ -341,7 +343,7 @@
 
     #[test]
     fn limits_count_one_task_of_an_array_and_all_of_the_rest() {
-        let s = crate::settings::parse(("p", crate::settings::tests::SAMPLE), None).expect("valid");
+        let s = crate::settings::parse(("p", crate::settings::SAMPLE), None).expect("valid");
         let types: Vec<MachineType> = serde_json::from_str(
             r#"[{"name":"t","vcpus":8,"accelerators":2,"memory_gb":8,"hourly":1,"regions":["z0"]}]"#,
         )
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,3 +16,5 @@
 pub mod types;
 pub mod wire;
 pub mod workers;
+#[cfg(any(test, feature = "world"))]
+pub mod world;
--- /dev/null
+++ b/crates/scheduler/src/node/catalogue.rs
@@ -0,0 +1,46 @@
+//! The cloud's machine types, as last read.
+
+use super::outbox::Outbox;
+use crate::types::{OpId, Span, Time};
+use crate::wire::cloud::{CloudReply, CloudRequest, MachineType};
+
+const RETRY: Span = Span::ms(1000);
+
+#[derive(Debug, Default)]
+pub(super) struct Catalogue {
+    types: Vec<MachineType>,
+    op: Option<OpId>,
+    next: Time,
+}
+
+impl Catalogue {
+    /// Empty until they are known.
+    pub fn types(&self) -> &[MachineType] {
+        &self.types
+    }
+
+    pub fn tick(&mut self, now: Time, out: &mut Outbox) {
+        if self.types.is_empty() && self.op.is_none() && now >= self.next {
+            self.next = now + RETRY;
+            self.refresh(out);
+        }
+    }
+
+    pub fn refresh(&mut self, out: &mut Outbox) {
+        if self.op.is_none() {
+            self.op = Some(out.ask_cloud(CloudRequest::Types));
+        }
+    }
+
+    pub fn owns(&self, op: OpId) -> bool {
+        self.op == Some(op)
+    }
+
+    /// Takes the answer to its own request; whether the types are new.
+    pub fn reply(&mut self, reply: CloudReply) -> bool {
+        self.op = None;
+        let CloudReply::Types(types) = reply else { return false };
+        self.types = types;
+        true
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -0,0 +1,576 @@
+//! What every node does: follows the job records, runs for the lead, tells its peers; and hands each
+//! input to the part whose duty it is.
+
+mod users;
+
+use super::catalogue::Catalogue;
+use super::follower::{Follower, Turn as ReadTurn};
+use super::master::{Ctx, Leave, Master};
+use super::outbox::{LeaderOp, Outbox, Pending};
+use super::peers::Peers;
+use super::{Effect, Input, Method, Now};
+use crate::blocks::{Envelope, PeerMessage};
+use crate::compat::Levels;
+use crate::jobs::{self, Desk, Mirror};
+use crate::leader::{self, Seat, Turn};
+use crate::placement::{self, COUNTS_PREFIX, Counts, Factors};
+use crate::settings::Settings;
+use crate::store::Budget;
+use crate::types::{Fence, JobId, NodeName, OpId, Span, Stamp, Time, Wall};
+use crate::wire::cloud::CloudReply;
+use crate::wire::state::{Change, StateReply, StateRequest};
+use crate::wire::workers::{self, Report};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How often nodes tell one another that they are there.
+const PING_EVERY: Span = Span::ms(1000);
+const COUNTS_PAGE: u32 = 500;
+/// How long the seat's requests may take: an answer later than that is of no use to it.
+const SEAT_PATIENCE: Span = Span::ms(1000);
+/// How long a leader that gave the lead back leaves it to others.
+const SHUN: Span = Span::ms(20_000);
+
+pub struct Core {
+    settings: Arc<Settings>,
+    rng: StdRng,
+    now: Time,
+    wall: Wall,
+    out: Outbox,
+    mirror: Mirror,
+    follower: Follower,
+    desk: Desk,
+    seat: Seat,
+    state_ok_at: Time,
+    peers: Peers,
+    next_ping: Time,
+    /// Last report that this node, not leading, had to turn away.
+    heard_worker: Time,
+    leader_hint: Option<(Fence, NodeName, Time)>,
+    top_fence: Fence,
+    catalogue: Catalogue,
+    /// How jobs stand, as the leader told last.
+    standings: BTreeMap<JobId, (u32, u32)>,
+    counts: Counts,
+    beat_at: (Fence, u64),
+    counts_loaded: bool,
+    user_writes: Budget,
+    levels: Levels,
+    master: Option<Master>,
+    started: bool,
+    #[cfg(any(test, feature = "world"))]
+    old: bool,
+}
+
+impl Core {
+    pub fn new(settings: Arc<Settings>, seed: u64) -> Self {
+        let o = &settings.operator;
+        let seat = Seat::new(settings.node.clone(), Span::ms(o.leader_grant_ms), Span::ms(o.leader_renew_ms));
+        let nodes = (settings.peers.len() + 1) as f64;
+        // Each node has its part of the rate, but may use a second's worth of all parts at once: the
+        // jobs of a pipeline come over one connection, and all nodes seldom have bursts together.
+        let user_rate = (settings.state.write_rps * o.user_write_share).max(1.0);
+        let user_writes = Budget::bursting((user_rate / nodes).max(1.0), user_rate);
+        let read_pause = Span::secs(2.0 * nodes / settings.state.rps);
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: Time::default(),
+            wall: Wall(0),
+            out: Outbox::new(settings.node.clone()),
+            mirror: Mirror::default(),
+            follower: Follower::new(jobs::PREFIX, read_pause, Pending::Jobs),
+            desk: Desk::default(),
+            seat,
+            state_ok_at: Time::default(),
+            peers: Peers::new(&settings.peers),
+            next_ping: Time::default(),
+            heard_worker: Time::default(),
+            leader_hint: None,
+            top_fence: Fence(0),
+            catalogue: Catalogue::default(),
+            standings: BTreeMap::new(),
+            counts: Counts::default(),
+            beat_at: (Fence(0), 0),
+            counts_loaded: false,
+            user_writes,
+            levels: Levels::new(settings.node.clone(), settings.peers.iter().map(|p| p.name.clone())),
+            master: None,
+            started: false,
+            #[cfg(any(test, feature = "world"))]
+            old: false,
+            settings,
+        }
+    }
+
+    /// Takes one input; gives what to do.
+    pub fn step(&mut self, now: Now, input: Input) -> Vec<Effect> {
+        self.now = now.steady;
+        self.wall = now.wall;
+        if !self.started {
+            self.started = true;
+            tracing::info!(node = %self.settings.node, "started");
+        }
+        match input {
+            Input::Tick => self.tick(),
+            Input::Http { request, method, path, body } => self.http(request, method, &path, body),
+            Input::State { op, reply } => self.state(op, reply),
+            Input::Cloud { op, reply } => self.cloud(op, reply),
+            Input::Worker { op, status, body } => self.worker(op, status, &body),
+            Input::Peer(envelope) => self.peer(envelope),
+        }
+        let changed = self.mirror.take_changed();
+        if !changed.is_empty() {
+            for id in &changed {
+                if self.mirror.verdict(id).is_some() {
+                    self.standings.remove(id);
+                }
+            }
+            if let Some((master, ctx)) = self.leading() {
+                master.jobs_changed(&ctx, changed);
+            }
+        }
+        self.pump();
+        self.out.take()
+    }
+
+    /// The leader's part and what it may use, if this node has it.
+    fn leading(&mut self) -> Option<(&mut Master, Ctx<'_>)> {
+        let master = self.master.as_mut()?;
+        let ctx = Ctx {
+            now: self.now,
+            valid: self.seat.valid(self.now),
+            holds: self.seat.leads(),
+            fresh_at: self.follower.fresh_at(),
+            mirror: &mut self.mirror,
+            counts: &mut self.counts,
+            peers: &mut self.peers,
+            catalogue: &mut self.catalogue,
+            rng: &mut self.rng,
+            out: &mut self.out,
+        };
+        Some((master, ctx))
+    }
+
+    // ---- time ----
+
+    fn tick(&mut self) {
+        let now = self.now;
+        let patience = Span::ms(self.settings.operator.request_patience_ms);
+        for w in self.desk.overdue(now, patience) {
+            self.out.refuse(w.request, 503, "the state service does not answer; come back");
+        }
+        if now >= self.next_ping {
+            self.next_ping = now + PING_EVERY;
+            let zones = self.peers.zones_heard().iter();
+            let ping = PeerMessage::Ping {
+                state_ok: self.state_ok(),
+                fence_seen: self.top_fence,
+                beat_at: self.beat_at,
+                hears_workers: now.since(self.heard_worker) < Span::ms(3000),
+                zones_heard: zones.map(|(z, at)| (z.clone(), now.since(*at))).collect(),
+            };
+            for peer in self.peers.names() {
+                self.out.tell(peer, ping.clone());
+            }
+        }
+        let quiet = self.leader_hint.as_ref().is_some_and(|(f, n, at)| {
+            *f >= self.top_fence && *n != self.settings.node && now.since(*at) < Span::ms(2000)
+        });
+        let jitter = Span::ms(self.rng.random_range(0..300));
+        if let Some(request) = self.seat.tick(now, quiet || self.mirror.epoch().is_none(), jitter) {
+            self.seat_sends(request);
+        }
+        self.catalogue.tick(now, &mut self.out);
+        if !self.counts_loaded && !self.out.waits_for(|p| matches!(p, Pending::Counts)) {
+            let request = StateRequest::Range { prefix: COUNTS_PREFIX, after: None, most: COUNTS_PAGE };
+            self.out.ask_state(request, Pending::Counts);
+        }
+        self.levels_tick();
+        let leave = self.leading().and_then(|(master, mut ctx)| master.tick(&mut ctx));
+        self.leave(leave);
+    }
+
+    fn levels_tick(&mut self) {
+        #[cfg(any(test, feature = "world"))]
+        if self.old {
+            return;
+        }
+        let fence = self.seat.valid(self.now).then(|| self.seat.fence());
+        if let Some(request) = self.levels.tick(self.now, fence) {
+            self.out.ask_state(request, Pending::Levels);
+        }
+    }
+
+    fn seat_sends(&mut self, request: StateRequest) {
+        let op = self.out.ask_state_for(request, SEAT_PATIENCE);
+        self.seat.sent(op);
+    }
+
+    /// Work that any input may have made possible.
+    fn pump(&mut self) {
+        let fresh_at = self.follower.fresh_at();
+        let stocking = self.master.as_ref().is_some_and(|m| m.wants_jobs(fresh_at));
+        let wanted = self.desk.wants_read() || stocking;
+        if self.follower.pump(self.now, self.mirror.epoch(), wanted, &mut self.out) {
+            self.desk.read_begins();
+        }
+        if let Some((master, mut ctx)) = self.leading() {
+            master.pump(&mut ctx);
+        }
+    }
+
+    fn state_ok(&self) -> bool {
+        self.mirror.epoch().is_some() && self.now.since(self.state_ok_at) < Span::ms(2500)
+    }
+
+    // ---- HTTP ----
+
+    fn http(&mut self, request: OpId, method: Method, path: &str, body: Vec<u8>) {
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (method, parts.as_slice()) {
+            (Method::Get, ["up"]) => self.up(request),
+            (Method::Post, ["v1", "report"]) => self.report(request, &body),
+            (Method::Post, ["submissions"]) => self.submit(request, &body),
+            (Method::Get, ["submissions", id]) => self.status(request, id),
+            (Method::Post, ["submissions", id, "withdraw"]) => self.ask_to_withdraw(request, id),
+            (Method::Get, ["operator", "metrics"]) => {
+                let text = self.metrics();
+                self.out.answer(request, 200, text);
+            }
+            (Method::Get, ["operator", "waiting"]) => {
+                let text = self.waiting_report();
+                self.out.answer(request, 200, text);
+            }
+            (_, ["up"] | ["submissions"] | ["submissions", _] | ["submissions", _, "withdraw"])
+            | (_, ["v1", "report"] | ["operator", "metrics" | "waiting"]) => {
+                self.out.refuse(request, 405, "wrong method for this path");
+            }
+            _ => self.out.refuse(request, 404, "no such path"),
+        }
+    }
+
+    /// This node can take requests if it reaches the state service, or if no node does: then
+    /// being passed over would help nobody, and every answer says when to come back.
+    fn up(&mut self, request: OpId) {
+        let loaded = self.mirror.epoch().is_some();
+        if loaded && (self.state_ok() || !self.peers.reach_state(self.now)) {
+            self.out.answer(request, 200, "{}".into());
+        } else {
+            self.out.refuse(request, 503, "this node does not reach the state service");
+        }
+    }
+
+    // ---- workers ----
+
+    fn report(&mut self, request: OpId, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(error) => return self.out.refuse(request, 400, &error.to_string()),
+        };
+        self.saw_fence(report.fence);
+        let taken = self.leading().is_some_and(|(master, mut ctx)| master.report(&mut ctx, request, &report));
+        if !taken {
+            self.heard_worker = self.now;
+            self.redirect(request);
+        }
+    }
+
+    fn redirect(&mut self, request: OpId) {
+        let known = self.leader_hint.as_ref();
+        let known = known.filter(|(f, _, at)| *f >= self.top_fence && self.now.since(*at) < Span::ms(3000));
+        match known {
+            Some((_, leader, _)) => self.out.answer(request, 421, workers::redirect(Some(leader))),
+            None => self.out.refuse(request, 503, "no leader is known here"),
+        }
+    }
+
+    fn worker(&mut self, op: OpId, status: u16, body: &[u8]) {
+        let seen = self.leading().and_then(|(master, _)| master.worker(op, status, body));
+        if let Some(fence) = seen {
+            self.saw_fence(fence);
+        }
+    }
+
+    // ---- the state service's and the cloud's answers ----
+
+    fn state(&mut self, op: OpId, reply: StateReply) {
+        let answered = !matches!(reply, StateReply::Refused | StateReply::Unknown);
+        if answered {
+            self.state_ok_at = self.now;
+        }
+        if self.seat.owns(op) {
+            let (turn, next) = self.seat.reply(self.now, reply);
+            if let Some(request) = next {
+                self.seat_sends(request);
+            }
+            match turn {
+                Turn::Won(fence) => self.take_over(fence),
+                Turn::Lost => self.step_down("the grant has ended"),
+                Turn::Nothing => {}
+            }
+            return;
+        }
+        match self.out.answered(op) {
+            None => {}
+            Some(Pending::Jobs(read)) => {
+                let turn = self.follower.reply(
+                    self.now,
+                    read,
+                    reply,
+                    &mut self.mirror,
+                    &mut self.rng,
+                    &mut self.out,
+                );
+                if let ReadTurn::ReadEnds(fresh) = turn {
+                    self.read_ends(fresh);
+                }
+            }
+            Some(Pending::Create { waiting, job }) => self.created(waiting, job, reply),
+            Some(Pending::Withdraw { waiting }) => self.withdrawn(waiting, reply),
+            Some(Pending::Levels) => self.levels.reply(self.now, reply),
+            Some(Pending::Counts) => {
+                if let StateReply::Pairs { pairs, .. } = reply {
+                    self.counts_loaded = true;
+                    for pair in pairs {
+                        if let Err(error) = self.counts.add_part(&pair.value) {
+                            tracing::error!(key = pair.key, %error, "counts can't be read; skipped");
+                        }
+                    }
+                }
+            }
+            Some(Pending::Leader(fence, op)) => {
+                let leave = self.leading().and_then(|(master, mut ctx)| {
+                    if master.fence() == fence { master.state(&mut ctx, op, reply) } else { None }
+                });
+                self.leave(leave);
+            }
+        }
+    }
+
+    fn cloud(&mut self, op: OpId, reply: CloudReply) {
+        if !self.catalogue.owns(op) {
+            if let Some((master, mut ctx)) = self.leading() {
+                master.cloud(&mut ctx, op, reply);
+            }
+            return;
+        }
+        if self.catalogue.reply(reply)
+            && let Some((master, ctx)) = self.leading()
+        {
+            master.set_types(ctx.catalogue.types().to_vec(), ctx.now);
+        }
+    }
+
+    // ---- taking and losing the lead ----
+
+    fn take_over(&mut self, fence: Fence) {
+        tracing::info!(%fence, "leads now");
+        self.saw_fence(fence);
+        let types = self.catalogue.types().to_vec();
+        self.master = Some(Master::new(self.settings.clone(), fence, self.now, types));
+        if let Some((master, mut ctx)) = self.leading() {
+            master.load(&mut ctx);
+        }
+    }
+
+    fn step_down(&mut self, why: &str) {
+        if self.master.take().is_some() {
+            tracing::warn!(why, "leads no longer");
+        }
+    }
+
+    fn leave(&mut self, leave: Option<Leave>) {
+        match leave {
+            None => {}
+            Some(Leave::Lost(why)) => {
+                self.seat.step_down(self.now);
+                self.step_down(why);
+            }
+            Some(Leave::Resign(why)) => {
+                let fence = self.seat.fence();
+                let request = StateRequest::Commit {
+                    conditions: vec![(leader::KEY.into(), Stamp(fence.0))],
+                    changes: vec![Change::Delete { key: leader::KEY.into() }],
+                };
+                self.out.ask_state(request, Pending::Leader(fence, LeaderOp::Resign));
+                self.seat.shun(self.now, SHUN);
+                self.step_down(why);
+            }
+        }
+    }
+
+    // ---- peers ----
+
+    fn peer(&mut self, envelope: Envelope) {
+        let Envelope { from, message, .. } = envelope;
+        if !self.peers.names().contains(&from) {
+            return;
+        }
+        match message {
+            PeerMessage::Ping { state_ok, fence_seen, beat_at, hears_workers, zones_heard } => {
+                self.saw_fence(fence_seen);
+                for (zone, age) in zones_heard {
+                    self.peers.heard_zone(&zone, self.now.before(age));
+                }
+                self.peers.pinged(from, state_ok, beat_at, hears_workers, self.now);
+            }
+            PeerMessage::Beat { fence, beat, jobs, learned } => {
+                if !self.heed(fence, &from) {
+                    return;
+                }
+                // Only an unbroken run of beats is taken in; a gap is mended by a table.
+                if self.beat_at == (fence, beat.wrapping_sub(1)) {
+                    self.beat_at.1 = beat;
+                    learned.iter().for_each(|l| self.counts.learn(l));
+                    self.take_standings(jobs);
+                } else if self.beat_at != (fence, beat) {
+                    self.beat_at = (Fence(0), 0);
+                }
+            }
+            PeerMessage::Table { fence, beat, jobs, counts } => {
+                if self.heed(fence, &from) {
+                    self.counts = counts;
+                    self.beat_at = (fence, beat);
+                    self.standings.clear();
+                    self.take_standings(jobs);
+                }
+            }
+            PeerMessage::Offer { fence, block, round, mut machines, asks } => {
+                if !self.heed(fence, &from) {
+                    return;
+                }
+                let proposals = placement::round(
+                    &mut machines,
+                    &asks,
+                    &self.counts,
+                    &Factors::of(&self.settings.operator),
+                    &mut self.rng,
+                );
+                self.out.tell(&from, PeerMessage::Proposals { fence, block, round, proposals });
+            }
+            PeerMessage::Proposals { fence, block, round, proposals } => {
+                if let Some((master, mut ctx)) = self.leading() {
+                    master.proposals(&mut ctx, &from, fence, block, round, proposals);
+                }
+            }
+        }
+    }
+
+    fn take_standings(&mut self, jobs: Vec<(JobId, u32, u32)>) {
+        self.standings.extend(jobs.into_iter().map(|(id, done, running)| (id, (done, running))));
+    }
+
+    /// Whether to listen to a leader with `fence`; remembers it for redirects.
+    fn heed(&mut self, fence: Fence, from: &NodeName) -> bool {
+        self.saw_fence(fence);
+        if fence < self.top_fence {
+            return false;
+        }
+        self.leader_hint = Some((fence, from.clone(), self.now));
+        true
+    }
+
+    /// A higher fence means that somebody else has led since: stop at once.
+    fn saw_fence(&mut self, fence: Fence) {
+        if fence > self.top_fence {
+            self.top_fence = fence;
+            if self.seat.leads() && self.seat.fence() < fence {
+                self.seat.step_down(self.now);
+                self.step_down("a higher fence was seen");
+            }
+        }
+    }
+
+    // ---- for operators ----
+
+    pub(crate) fn metrics(&self) -> String {
+        let mut lines = vec![
+            format!("pearford_leads {}", u8::from(self.seat.leads())),
+            format!("pearford_fence {}", self.top_fence),
+            format!("pearford_jobs_known {}", self.mirror.len()),
+            format!("pearford_state_requests_open {}", self.out.open()),
+        ];
+        for (node, level, version) in self.levels.nodes() {
+            lines.push(format!("pearford_node_level{{node=\"{node}\",version=\"{version}\"}} {level}"));
+        }
+        lines.push(format!("pearford_level_reached {}", self.levels.reached()));
+        lines.push(format!("pearford_jobs_awaiting {}", self.mirror.graph().waiting()));
+        if let Some(master) = &self.master {
+            master.metrics(&mut lines);
+        }
+        lines.join("\n") + "\n"
+    }
+
+    /// Why each job waits; the leader knows.
+    pub(crate) fn waiting_report(&self) -> String {
+        #[derive(serde::Serialize)]
+        struct Line<'a> {
+            id: &'a str,
+            waiting: u32,
+            why: &'a str,
+            #[serde(skip_serializing_if = "Vec::is_empty")]
+            awaits: Vec<&'a JobId>,
+        }
+        const MOST: usize = 250;
+        let waiting = self.master.iter().flat_map(Master::waiting);
+        let mut lines: Vec<Line> = waiting
+            .take(MOST)
+            .map(|(id, waiting, why)| Line { id: id.as_str(), waiting, why, awaits: Vec::new() })
+            .collect();
+        // Which jobs wait for others follows from the records: every node knows.
+        let graph = self.mirror.graph();
+        lines.extend(graph.waiting_ids().take(MOST).map(|id| Line {
+            id: id.as_str(),
+            waiting: self.mirror.get(id).and_then(|k| k.record.open()).map_or(0, |j| j.spec.tasks),
+            why: "jobs that it needs are not done",
+            awaits: graph.missing(id).into_iter().take(8).collect(),
+        }));
+        serde_json::to_string(&lines).unwrap_or_default()
+    }
+}
+
+/// The version before dependencies, for days on which both serve.
+#[cfg(any(test, feature = "world"))]
+impl Core {
+    /// It announces nothing, ignores `awaits`, and can't read records of dependent jobs.
+    pub fn act_like_the_version_before(&mut self) {
+        self.old = true;
+        self.mirror.skip_dependent = true;
+    }
+
+    pub fn sabotage_level(&mut self) {
+        self.levels.sabotage_reached();
+    }
+}
+
+/// Ways to take a guard out, for proving that the test world's checker notices.
+#[cfg(any(test, feature = "world"))]
+impl Core {
+    pub fn sabotage_forget_silent(&mut self, ms: u64) {
+        let now = self.now;
+        if let Some(master) = &mut self.master {
+            master.sabotage_forget_silent(ms, now);
+        }
+    }
+
+    pub fn sabotage_done_early(&mut self) {
+        if let Some(master) = &mut self.master {
+            master.sabotage_done_early();
+        }
+    }
+
+    pub fn sabotage_graph(&mut self, guard: jobs::graph::Guard) {
+        self.mirror.take_out(guard);
+    }
+
+    /// The kept sums against a recount from the ground up.
+    pub fn sums_hold(&self) -> Result<(), String> {
+        self.master.as_ref().map_or(Ok(()), Master::sums_hold)
+    }
+
+    pub fn validly_leads(&self, at: crate::types::Time) -> bool {
+        self.seat.valid(at)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node/core/users.rs
@@ -0,0 +1,226 @@
+//! Users' requests: submissions, questions, withdrawals.
+//!
+//! Whatever is not final is answered only after a read begun since the request came: another node
+//! may have answered something newer.
+
+use super::super::outbox::Pending;
+use super::Core;
+use crate::compat;
+use crate::jobs::{self, Ask, JobSpec, Never, OpenJob, Phase, Record, Shape, Waiting};
+use crate::types::{JobId, OpId, Stamp};
+use crate::wire::state::{Change, StateReply, StateRequest};
+use crate::wire::users;
+use std::sync::Arc;
+
+impl Core {
+    pub(super) fn status(&mut self, request: OpId, id: &str) {
+        self.ask_about(request, id, Ask::Status);
+    }
+
+    pub(super) fn ask_to_withdraw(&mut self, request: OpId, id: &str) {
+        self.ask_about(request, id, Ask::Withdraw);
+    }
+
+    fn ask_about(&mut self, request: OpId, id: &str, ask: Ask) {
+        match users::job_id(id) {
+            Some(id) => self.look_up(request, id, ask),
+            None => self.out.refuse(request, 404, "no such job; ids look like req-000412"),
+        }
+    }
+
+    pub(super) fn submit(&mut self, request: OpId, body: &[u8]) {
+        let Some(id) = users::submission_id(body) else {
+            let why = users::submission(body).err().unwrap_or_else(|| "id: invalid".into());
+            return self.out.refuse(request, 400, &why);
+        };
+        let read = users::submission(body);
+        #[cfg(any(test, feature = "world"))]
+        let read = read.map(|(id, mut spec)| {
+            if self.old {
+                spec.needs.clear();
+            }
+            (id, spec)
+        });
+        let spec = match read {
+            Err(why) => Err(jobs::Refusal { status: 400, why }),
+            Ok((_, spec)) if self.catalogue.types().is_empty() => {
+                // Undecidable yet, unless the team alone decides it.
+                match spec.can_run(&self.settings, &[]) {
+                    Err(never @ Never::UnknownTeam(_)) => Err(never.into()),
+                    _ => Err(jobs::Refusal { status: 503, why: "machine types are not known yet".into() }),
+                }
+            }
+            Ok((_, spec)) => match spec.can_run(&self.settings, self.catalogue.types()) {
+                Ok(()) => self.storable(&spec).map(|()| Box::new(spec)),
+                Err(never) => Err(never.into()),
+            },
+        };
+        self.look_up(request, id, Ask::Submit { spec });
+    }
+
+    /// A job that needs others is stored only once every node is known to understand that, and any
+    /// job only if its record fits: a larger one would be refused at every try.
+    fn storable(&self, spec: &JobSpec) -> Result<(), jobs::Refusal> {
+        if !spec.needs.is_empty() && self.levels.reached() < compat::DEPENDENCIES {
+            let why = "jobs with `awaits` are taken once every controller has the new version; come back";
+            return Err(jobs::Refusal { status: 503, why: why.into() });
+        }
+        let job = OpenJob { spec: spec.clone(), submitted: self.wall, home: self.settings.node.clone() };
+        let (bytes, limit) = (Record::Open(Arc::new(job)).to_value().len(), self.settings.state.value_bytes);
+        if bytes > limit { Err(Never::TooLarge { bytes, limit }.into()) } else { Ok(()) }
+    }
+
+    /// Why the job can't wait for those that it names, as far as this node knows.
+    fn needs_fault(&self, id: &JobId, spec: &JobSpec) -> Option<Never> {
+        spec.needs.iter().find_map(|need| match self.mirror.get(need) {
+            _ if need == id => Some(Never::NeedsItself),
+            None => Some(Never::NeedsUnknown(need.clone())),
+            Some(known) => {
+                let service = known.record.open().is_some_and(|j| j.spec.shape == Shape::Service);
+                service.then(|| Never::NeedsService(need.clone()))
+            }
+        })
+    }
+
+    /// Starts on a request about job `id`.
+    fn look_up(&mut self, request: OpId, id: JobId, ask: Ask) {
+        if let Some(phase) = self.mirror.verdict(&id) {
+            return self.out.answer(request, 200, users::status(&id, phase, self.counts_of(&id)));
+        }
+        if self.mirror.epoch().is_none() {
+            return self.out.refuse(request, 503, "job records are not read yet; come back");
+        }
+        if self.desk.len() >= self.settings.operator.max_waiting_requests {
+            return self.out.refuse(request, 429, "too many requests wait here; come back");
+        }
+        let known = self.mirror.get(&id).is_some();
+        let waiting = Waiting { request, id, ask, since: self.now, tries: 0 };
+        match &waiting.ask {
+            // Setting the key if absent decides by itself; no read is needed before. A name that this
+            // node doesn't know may have been accepted by another one a moment ago.
+            Ask::Submit { spec: Ok(spec) } if !known && self.needs_fault(&waiting.id, spec).is_none() => {
+                self.create(waiting);
+            }
+            Ask::Withdraw if known => self.withdraw(waiting),
+            _ => self.desk.wait(waiting),
+        }
+    }
+
+    fn create(&mut self, waiting: Waiting) {
+        let Ask::Submit { spec: Ok(spec) } = &waiting.ask else { return };
+        if !self.user_writes.take(1.0, self.now) {
+            return self.out.refuse(waiting.request, 429, "too many submissions at once; come back");
+        }
+        let job = Arc::new(OpenJob {
+            spec: (**spec).clone(),
+            submitted: self.wall,
+            home: self.settings.node.clone(),
+        });
+        let key = jobs::key(&waiting.id);
+        let value = Record::Open(job.clone()).to_value();
+        let request = StateRequest::Commit {
+            conditions: vec![(key.clone(), Stamp(0))],
+            changes: vec![Change::Put { key, value, permit: None }],
+        };
+        self.out.ask_state(request, Pending::Create { waiting, job });
+    }
+
+    fn withdraw(&mut self, waiting: Waiting) {
+        let Some(stamp) = self.mirror.get(&waiting.id).map(|k| k.stamp) else { return };
+        if !self.user_writes.take(1.0, self.now) {
+            return self.out.refuse(waiting.request, 429, "too many withdrawals at once; come back");
+        }
+        let key = jobs::key(&waiting.id);
+        let request = StateRequest::Commit {
+            conditions: vec![(key.clone(), stamp)],
+            changes: vec![Change::Put { key, value: Record::Withdrawn.to_value(), permit: None }],
+        };
+        self.out.ask_state(request, Pending::Withdraw { waiting });
+    }
+
+    /// Goes on with a request after a read begun since it came.
+    fn after_read(&mut self, waiting: Waiting) {
+        let Waiting { request, id, .. } = &waiting;
+        let (request, id) = (*request, id.clone());
+        let known = self.mirror.get(&id).map(|_| self.mirror.verdict(&id));
+        match (known, &waiting.ask) {
+            (Some(Some(phase)), _) => {
+                self.out.answer(request, 200, users::status(&id, phase, self.counts_of(&id)));
+            }
+            (Some(None), Ask::Withdraw) => {
+                if waiting.tries >= 5 {
+                    return self.out.refuse(request, 503, "the job is changing; come back");
+                }
+                self.withdraw(Waiting { tries: waiting.tries + 1, ..waiting });
+            }
+            (Some(None), _) => {
+                let counts = self.counts_of(&id);
+                let running = counts.is_some_and(|(_, running)| running > 0);
+                let phase = if running { Phase::Running } else { Phase::Pending };
+                self.out.answer(request, 200, users::status(&id, phase, Some(counts.unwrap_or((0, 0)))));
+            }
+            (None, Ask::Submit { spec: Ok(spec) }) => match self.needs_fault(&id, spec) {
+                Some(never) => self.out.refuse(request, 422, &never.to_string()),
+                None => self.create(waiting),
+            },
+            (None, Ask::Submit { spec: Err(refusal) }) => {
+                let (status, why) = (refusal.status, refusal.why.clone());
+                self.out.refuse(request, status, &why);
+            }
+            (None, _) => self.out.refuse(request, 404, "no such job"),
+        }
+    }
+
+    pub(super) fn read_ends(&mut self, fresh: bool) {
+        for waiting in self.desk.read_ends() {
+            if fresh {
+                self.after_read(waiting);
+            } else {
+                let why = "the state service can't be read now; come back";
+                self.out.refuse(waiting.request, 503, why);
+            }
+        }
+    }
+
+    pub(super) fn created(&mut self, waiting: Waiting, job: Arc<OpenJob>, reply: StateReply) {
+        match reply {
+            StateReply::Committed { epoch } => {
+                let id = waiting.id.clone();
+                self.mirror.learn(id.clone(), Stamp(epoch), Record::Open(job));
+                tracing::info!(job = %id, "accepted");
+                // Withdrawn at once, if one that it names is.
+                let phase = self.mirror.verdict(&id).unwrap_or(Phase::Pending);
+                self.out.answer(waiting.request, 201, users::status(&id, phase, None));
+            }
+            StateReply::Conflict { .. } if waiting.tries < 3 => {
+                self.desk.wait(Waiting { tries: waiting.tries + 1, ..waiting });
+            }
+            // Refused for good, as it would be at every further try.
+            StateReply::Malformed => {
+                tracing::error!(job = %waiting.id, "the state service refuses the job's record");
+                self.out.refuse(waiting.request, 422, "the state service does not take the job's record");
+            }
+            _ => self.out.refuse(waiting.request, 503, "the state service can't be written now; come back"),
+        }
+    }
+
+    pub(super) fn withdrawn(&mut self, waiting: Waiting, reply: StateReply) {
+        match reply {
+            StateReply::Committed { epoch } => {
+                let id = waiting.id.clone();
+                self.mirror.learn(id.clone(), Stamp(epoch), Record::Withdrawn);
+                tracing::info!(job = %id, "withdrawn");
+                self.out.answer(waiting.request, 200, users::status(&id, Phase::Withdrawn, None));
+            }
+            StateReply::Conflict { .. } => self.desk.wait(waiting),
+            _ => self.out.refuse(waiting.request, 503, "the state service can't be written now; come back"),
+        }
+    }
+
+    fn counts_of(&self, id: &JobId) -> Option<(u32, u32)> {
+        match &self.master {
+            Some(master) => master.standing_of(id),
+            None => self.standings.get(id).copied(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node/follower.rs
@@ -0,0 +1,170 @@
+//! Keeps a copy of all keys under one prefix up to date: reads them once, then watches; a watch
+//! that returns at once brings the copy up to date for everything asked before it.
+
+use super::outbox::{Outbox, Pending, Read};
+use crate::jobs::Mirror;
+use crate::types::{Span, Time};
+use crate::wire::state::{Event, Pair, StateReply, StateRequest};
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+const PAGE: u32 = 500;
+const WATCH_BLOCK: Span = Span::ms(10_000);
+/// How old the last full look may get before there is another.
+const FRESHEN_EVERY: Span = Span::ms(1000);
+
+/// Where what was read goes.
+pub(super) trait Replica {
+    /// All changes up to this revision are in it, if not later ones.
+    fn reach(&mut self, epoch: u64);
+    /// Everything has to be read again.
+    fn forget_epoch(&mut self);
+    fn learn_pair(&mut self, pair: &Pair);
+    fn learn_events(&mut self, epoch: u64, events: &[Event]);
+}
+
+/// What an answer led to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Turn {
+    Nothing,
+    /// The read that was begun last is over; whether the copy is up to date as of its beginning.
+    ReadEnds(bool),
+}
+
+#[derive(Debug)]
+pub(super) struct Follower {
+    prefix: &'static str,
+    pending: fn(Read) -> Pending,
+    /// Least time between reads that return at once. All requests that wait share one; reads of all
+    /// nodes together stay within half of the service's rate, or a rush of users would starve the
+    /// leader's grant.
+    pause: Span,
+    listing: bool,
+    watching: bool,
+    syncing: bool,
+    next_list: Time,
+    next_sync: Time,
+    /// Start of the newest read after which the copy was up to date.
+    fresh_at: Time,
+}
+
+impl Follower {
+    pub fn new(prefix: &'static str, pause: Span, pending: fn(Read) -> Pending) -> Self {
+        Self {
+            prefix,
+            pending,
+            pause,
+            listing: false,
+            watching: false,
+            syncing: false,
+            next_list: Time::default(),
+            next_sync: Time::default(),
+            fresh_at: Time::default(),
+        }
+    }
+
+    pub fn fresh_at(&self) -> Time {
+        self.fresh_at
+    }
+
+    /// Sends what is due; whether a read began that answers all that was asked so far. `wanted`:
+    /// something waits for one.
+    pub fn pump(&mut self, now: Time, epoch: Option<u64>, wanted: bool, out: &mut Outbox) -> bool {
+        let Some(from) = epoch else {
+            if !self.listing && now >= self.next_list {
+                self.page(None, None, out);
+            }
+            return false;
+        };
+        if !self.watching && now >= self.next_list {
+            self.watching = true;
+            self.watch(from, WATCH_BLOCK, Read::Watch, out);
+        }
+        // A node without requests must still learn whether it reaches the state service, or it
+        // would call itself unfit, get no requests, and never find out.
+        let stale = now.since(self.fresh_at) >= FRESHEN_EVERY;
+        let begins = !self.syncing && now >= self.next_sync && (wanted || stale);
+        if begins {
+            self.syncing = true;
+            self.next_sync = now + self.pause;
+            self.watch(from, Span::ms(0), Read::Sync { began: now }, out);
+        }
+        begins
+    }
+
+    fn watch(&self, from: u64, block: Span, read: Read, out: &mut Outbox) {
+        let request = StateRequest::Watch { prefix: self.prefix, from, block_ms: block.0 };
+        out.ask_state(request, (self.pending)(read));
+    }
+
+    fn page(&mut self, after: Option<String>, first_epoch: Option<u64>, out: &mut Outbox) {
+        self.listing = true;
+        let request = StateRequest::Range { prefix: self.prefix, after, most: PAGE };
+        out.ask_state(request, (self.pending)(Read::Page { first_epoch }));
+    }
+
+    pub fn reply(
+        &mut self,
+        now: Time,
+        read: Read,
+        reply: StateReply,
+        replica: &mut impl Replica,
+        rng: &mut StdRng,
+        out: &mut Outbox,
+    ) -> Turn {
+        match (read, reply) {
+            (Read::Page { first_epoch }, StateReply::Pairs { pairs, more, epoch }) => {
+                self.listing = false;
+                pairs.iter().for_each(|p| replica.learn_pair(p));
+                // What changed while the pages were read is learned again by watching from the first.
+                let first = first_epoch.unwrap_or(epoch);
+                match pairs.last() {
+                    Some(last) if more => self.page(Some(last.key.clone()), Some(first), out),
+                    _ => replica.reach(first),
+                }
+            }
+            (Read::Page { .. }, _) => {
+                self.listing = false;
+                self.next_list = now + Span::ms(rng.random_range(200..600));
+            }
+            (Read::Watch, reply) => {
+                self.watching = false;
+                match reply {
+                    StateReply::Events { epoch, events } => replica.learn_events(epoch, &events),
+                    StateReply::TooOld => replica.forget_epoch(),
+                    _ => self.next_list = now + Span::ms(rng.random_range(200..500)),
+                }
+            }
+            (Read::Sync { began }, StateReply::Events { epoch, events }) => {
+                self.syncing = false;
+                replica.learn_events(epoch, &events);
+                self.fresh_at = self.fresh_at.max(began);
+                return Turn::ReadEnds(true);
+            }
+            (Read::Sync { .. }, reply) => {
+                self.syncing = false;
+                if reply == StateReply::TooOld {
+                    replica.forget_epoch();
+                }
+                self.next_sync = now + Span::ms(rng.random_range(50..150));
+                return Turn::ReadEnds(false);
+            }
+        }
+        Turn::Nothing
+    }
+}
+
+impl Replica for Mirror {
+    fn reach(&mut self, epoch: u64) {
+        Mirror::reach(self, epoch);
+    }
+    fn forget_epoch(&mut self) {
+        Mirror::forget_epoch(self);
+    }
+    fn learn_pair(&mut self, pair: &Pair) {
+        Mirror::learn_pair(self, pair);
+    }
+    fn learn_events(&mut self, epoch: u64, events: &[Event]) {
+        Mirror::learn_events(self, epoch, events);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node/master/calls.rs
@@ -0,0 +1,111 @@
+//! Workers' reports, and what goes straight to a worker: orders, the fence, questions.
+
+use super::*;
+
+/// How long a worker has to answer an order.
+const WORKER_PATIENCE: Span = Span::ms(3000);
+const PROBE_PATIENCE: Span = Span::ms(1500);
+/// Workers that are told the fence directly at a time.
+const PUSHES_AT_ONCE: usize = 8;
+
+impl Master {
+    /// Takes a report and answers it; false: this node may not speak for the controllers now.
+    pub(in crate::node) fn report(&mut self, ctx: &mut Ctx, request: OpId, report: &Report) -> bool {
+        let may_start = self.may_start(ctx);
+        if !self.may_renew(ctx) {
+            return false;
+        }
+        if self.tombs.contains_key(&report.machine) {
+            ctx.out.refuse(request, 503, "this machine was returned");
+            return true;
+        }
+        ctx.peers.heard_zone(&report.zone, ctx.now);
+        if !self.loaded() {
+            // Its lease is renewed and it learns the fence; what it says of its tasks can only be
+            // judged once the records are read.
+            ctx.out.answer(request, 200, workers::answer(self.fence, &[]));
+            return true;
+        }
+        self.take_report(report, ctx.now);
+        let mirror = &ctx.mirror;
+        let over = |task: &TaskId| mirror.verdict(&task.job).is_some();
+        let orders = match self.machines.get_mut(&report.machine) {
+            Some(m) if (m.session, m.serial) == (report.session, report.serial) => {
+                m.orders(report, may_start, over)
+            }
+            _ => Vec::new(),
+        };
+        ctx.out.answer(request, 200, workers::answer(self.fence, &orders));
+        true
+    }
+
+    /// A worker's answer to something direct; the fence that it has seen, if it says one.
+    pub(in crate::node) fn worker(&mut self, op: OpId, status: u16, body: &[u8]) -> Option<Fence> {
+        let report = || serde_json::from_slice::<Report>(body).ok();
+        if let Some(call) = self.directs.remove(&op) {
+            let report = report();
+            let at = match (&report, status) {
+                (Some(r), 200) => Some(Some((r.session, r.serial))),
+                (_, 400 | 409) => Some(None),
+                _ => None,
+            };
+            if let Some(m) = self.machines.get_mut(&call.machine) {
+                m.direct_answered(call.starts, call.session, at);
+            }
+            return report.map(|r| r.fence);
+        }
+        if let Some(machine) = self.probes.remove(&op) {
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.unanswered = if status == 0 { m.unanswered + 1 } else { 0 };
+            }
+            return None;
+        }
+        let machine = self.pushes.remove(&op)?;
+        // The body is a report, but only what it says of fence and session is used: it may have
+        // been made before an order sent in answer to a report ran, and would prove nothing.
+        let report = report()?;
+        if let Some(m) = self.machines.get_mut(&machine)
+            && status == 409
+            && report.fence < self.fence
+            && report.session > m.session
+        {
+            m.push_session = report.session;
+            self.to_push.insert(machine);
+        }
+        Some(report.fence)
+    }
+
+    /// Tells workers the fence that have not reported yet. A few at a time: most learn it by their
+    /// next report before their turn comes.
+    pub(super) fn push_fence(&mut self, ctx: &mut Ctx) {
+        while self.pushes.len() < PUSHES_AT_ONCE
+            && let Some(id) = self.to_push.pop_first()
+        {
+            let Some(m) = self.machines.get(&id).filter(|m| m.fence < self.fence) else { continue };
+            let Some(addr) = m.addr.clone() else { continue };
+            let body = workers::command(self.fence, m.session.max(m.push_session), &[]);
+            self.pushes.insert(ctx.out.ask_worker(addr, body, WORKER_PATIENCE), id);
+        }
+    }
+
+    /// Orders that needn't wait for a worker's next report go straight to it.
+    pub(super) fn send_directs(&mut self, ctx: &mut Ctx) {
+        let (may_start, fence) = (self.may_start(ctx), self.fence);
+        for id in std::mem::take(&mut self.to_direct) {
+            let Some(m) = self.machines.get_mut(&id).filter(|m| m.reachable(fence)) else { continue };
+            let (orders, starts) = m.direct_orders(may_start);
+            if let (false, Some(addr)) = (orders.is_empty(), m.addr.clone()) {
+                let body = workers::command(fence, m.session, &orders);
+                let call = DirectCall { machine: id, session: m.session, starts };
+                self.directs.insert(ctx.out.ask_worker(addr, body, WORKER_PATIENCE), call);
+            }
+        }
+    }
+
+    /// Asks silent workers whether they are there.
+    pub(super) fn probe(&mut self, ctx: &mut Ctx) {
+        for (id, addr, body) in self.silent_workers(ctx.now) {
+            self.probes.insert(ctx.out.ask_worker(addr, body, PROBE_PATIENCE), id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node/master/cloud.rs
@@ -0,0 +1,86 @@
+//! Calls to the cloud, and what their answers say of the fleet.
+
+use super::*;
+
+const LIST_PAGE: u32 = 500;
+const TYPES_EVERY: Span = Span::ms(60_000);
+/// Nothing is rented for so long after a call without an answer.
+const AWAY_PAUSE: Span = Span::ms(2000);
+
+#[derive(Debug)]
+pub(super) enum CloudOp {
+    Rent { offer: Offer, number: u32 },
+    Release { machines: Vec<MachineId> },
+    List,
+}
+
+impl Master {
+    fn call(&mut self, ctx: &mut Ctx, request: CloudRequest, op: CloudOp) {
+        self.cloud_ops.insert(ctx.out.ask_cloud(request), op);
+    }
+
+    /// Lists, returns and rents what is due.
+    pub(super) fn call_cloud(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let list = now >= self.next_listing && self.list_after.is_none();
+        if list {
+            self.next_listing = now + Span::secs(self.settings.operator.list_every_s);
+        }
+        if now >= self.next_types {
+            self.next_types = now + TYPES_EVERY;
+            ctx.catalogue.refresh(ctx.out);
+        }
+        let (returns, rentals) = (self.returns(now), self.rentals(now));
+        if list {
+            self.call(ctx, CloudRequest::List { after: None, most: LIST_PAGE }, CloudOp::List);
+        }
+        for (request, op) in returns.into_iter().chain(rentals) {
+            self.call(ctx, request, op);
+        }
+    }
+
+    pub(in crate::node) fn cloud(&mut self, ctx: &mut Ctx, op: OpId, reply: CloudReply) {
+        let now = ctx.now;
+        let pause = Span::secs(self.settings.operator.refusal_pause_s);
+        let Some(what) = self.cloud_ops.remove(&op) else { return };
+        match (what, reply) {
+            (CloudOp::Rent { offer, number, .. }, CloudReply::Rented(ids)) => {
+                tracing::info!(machine_type = %offer.type_name, zone = %offer.zone, spot = offer.spot,
+                    wanted = number, got = ids.len(), "rented");
+                if (ids.len() as u32) < number {
+                    self.market.refuse(offer.clone(), now + pause);
+                }
+                for id in ids {
+                    self.rented(id, &offer, now);
+                }
+            }
+            (CloudOp::Rent { offer, .. }, CloudReply::NoCapacity) => {
+                self.market.refuse(offer, now + pause);
+            }
+            // Away or no answer: what was rented after all shows in the list or by its reports.
+            (CloudOp::Rent { .. }, _) => self.rent_not_before = now + AWAY_PAUSE,
+            (CloudOp::Release { machines }, CloudReply::Released) => {
+                for id in machines {
+                    self.released(&id, now);
+                }
+            }
+            (CloudOp::Release { machines }, _) => {
+                for id in machines {
+                    self.releasing.remove(&id);
+                }
+            }
+            (CloudOp::List, CloudReply::Listed { machines, more }) => {
+                let last = machines.last().map(|m| m.id.clone());
+                for listed in machines {
+                    self.listed(listed, now);
+                }
+                self.list_after = last.filter(|_| more);
+                if let Some(last) = self.list_after.clone() {
+                    let request = CloudRequest::List { after: Some(last), most: LIST_PAGE };
+                    self.call(ctx, request, CloudOp::List);
+                }
+            }
+            (CloudOp::List, _) => self.list_after = None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node/master/load.rs
@@ -0,0 +1,76 @@
+//! Taking over: reading all records before anything is judged or done.
+
+use super::*;
+
+const PAGE: u32 = 200;
+
+impl Master {
+    /// Begins to read what the leaders before left.
+    pub(in crate::node) fn load(&mut self, ctx: &mut Ctx) {
+        self.load_page(ctx, ledger::PREFIX, None, LeaderOp::LoadMachines);
+        self.load_page(ctx, jobs::PROGRESS_PREFIX, None, LeaderOp::LoadProgress);
+    }
+
+    fn load_page(&self, ctx: &mut Ctx, prefix: &'static str, after: Option<String>, op: LeaderOp) {
+        let request = StateRequest::Range { prefix, after, most: PAGE };
+        ctx.out.ask_state(request, Pending::Leader(self.fence, op));
+    }
+
+    pub(super) fn loaded_page(&mut self, ctx: &mut Ctx, op: LeaderOp, reply: StateReply) {
+        let machines = matches!(op, LeaderOp::LoadMachines);
+        let prefix = if machines { ledger::PREFIX } else { jobs::PROGRESS_PREFIX };
+        let StateReply::Pairs { pairs, more, .. } = reply else {
+            self.reload.push((ctx.now + Span::ms(200), op));
+            return;
+        };
+        for pair in &pairs {
+            self.journal.loaded(&pair.key, pair.stamp);
+            if !machines {
+                self.progress.push(pair.clone());
+                continue;
+            }
+            let Some(id) = pair.key.strip_prefix(ledger::PREFIX) else { continue };
+            match serde_json::from_str::<MachineRecord>(&pair.value) {
+                Ok(record) => self.inherit(id.into(), record, ctx.now),
+                Err(error) => tracing::error!(key = pair.key, %error, "machine record can't be read"),
+            }
+        }
+        match pairs.last() {
+            Some(last) if more => self.load_page(ctx, prefix, Some(last.key.clone()), op),
+            _ if machines => self.machines_loaded = true,
+            _ => self.progress_loaded = true,
+        }
+    }
+
+    /// Reads again what could not be read.
+    pub(super) fn reload_due(&mut self, ctx: &mut Ctx) {
+        for op in due(&mut self.reload, ctx.now) {
+            // From the top: taking in a page twice changes nothing.
+            let machines = matches!(op, LeaderOp::LoadMachines);
+            let prefix = if machines { ledger::PREFIX } else { jobs::PROGRESS_PREFIX };
+            self.load_page(ctx, prefix, None, op);
+        }
+    }
+
+    /// Builds the runs once all records are read: machines, progress, and job records by a read
+    /// that began under this leadership. With an older copy of the jobs, tasks of one accepted
+    /// meanwhile would be taken for strays, and placed a second time when it shows up.
+    pub(super) fn stock_taken(&mut self, ctx: &Ctx) {
+        if self.stocked || !self.machines_loaded || !self.progress_loaded || self.wants_jobs(ctx.fresh_at) {
+            return;
+        }
+        self.stocked = true;
+        self.take_stock(ctx.mirror, ctx.now);
+        tracing::info!(machines = self.machines.len(), jobs = self.runs.len(), "records read");
+    }
+
+    /// Job records changed, here or at another node.
+    pub(in crate::node) fn jobs_changed(&mut self, ctx: &Ctx, ids: Vec<JobId>) {
+        if !self.loaded() {
+            return; // `take_stock` reads the mirror
+        }
+        for id in ids {
+            self.job_changed(ctx.mirror, &id, ctx.now);
+        }
+    }
+}
--- a/crates/scheduler/src/node/master/room.rs
+++ b/crates/scheduler/src/node/master/room.rs
@@ -2,6 +2,24 @@
 
 use super::*;
 
+/// How long a job waits for the room it made before it makes more, besides a save.
+const PREEMPT_PAUSE: Span = Span::ms(2000);
+/// How long a search for room that found none holds good, and searches in one look at what waits:
+/// each goes through the whole fleet.
+const PREEMPT_AGAIN: Span = Span::ms(1000);
+/// Part of the time within which work is to start that it waits before others are stopped for it.
+const PREEMPT_AFTER: f64 = 0.6;
+/// Seconds of fetching that are worth stopping less urgent work where the image is.
+const IMAGE_WORTH_S: f64 = 5.0;
+/// Machines due within this count as nearly there for a gang, and how long free ones are then kept
+/// for it at a time.
+const HOLD_AHEAD: Span = Span::ms(10_000);
+const HOLD_FOR: Span = Span::ms(2000);
+/// Waiting less urgent work, as a part of what is placed, from which on no gang stops more of it.
+const CROWDED: f64 = 0.1;
+/// What a stopped task loses besides its work, in seconds: a new place, and often a new fetch.
+const RESTART_S: f64 = 15.0;
+
 /// Whose work is stopped.
 #[derive(Clone, Copy)]
 enum Clear<'a> {
--- a/crates/scheduler/src/node/master/rounds.rs
+++ b/crates/scheduler/src/node/master/rounds.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// Part of the time a gang's task waits for the others from which on their fetch is slow.
+const SLOW_FETCH: f64 = 0.4;
+const PREEMPTIONS_AT_ONCE: usize = 2;
+
 impl Master {
     // ---- rounds ----
 
--- a/crates/scheduler/src/node/master/stock.rs
+++ b/crates/scheduler/src/node/master/stock.rs
@@ -1,6 +1,10 @@
 //! Taking over, reports and their outcomes: what the ledger and the runs learn.
 
 use super::*;
+use crate::jobs::PROGRESS_PREFIX;
+
+/// How long nothing is placed on a machine whose record the state service refuses.
+const UNWRITABLE_PAUSE: Span = Span::ms(30_000);
 
 impl Master {
     // ---- take-over ----
@@ -428,7 +432,7 @@
     }
 
     pub fn master() -> Master {
-        let settings = crate::settings::parse(("p", crate::settings::tests::SAMPLE), None).expect("valid");
+        let settings = crate::settings::parse(("p", crate::settings::SAMPLE), None).expect("valid");
         Master::new(Arc::new(settings), Fence(9), Time::from_ms(1), Vec::new())
     }
 
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -2,6 +2,22 @@
 
 use super::*;
 
+/// Silent workers that are asked at a time, and from how many report intervals of silence on.
+const PROBES_AT_ONCE: usize = 16;
+const PROBE_AFTER_REPORTS: f64 = 1.35;
+/// Questions in a row without an answer after which a worker counts as lost.
+const PROBES_LOST: u32 = 2;
+/// Part of a zone's machines that, silent together, are cut off rather than lost.
+const ZONE_SILENT: f64 = 0.34;
+/// A cut-off worker kills its tasks when its lease ends; shortly before, waiting gains no more.
+const LEASE_MARGIN_S: f64 = 2.0;
+/// Jobs that have to fail on a machine, with none done between, before it counts as faulty.
+const MACHINE_AT_FAULT: usize = 2;
+/// Waiting tasks that rentals are planned for at a time.
+const NEEDS_AT_MOST: u32 = 20_000;
+/// While most machines are silent, none is given up for this many report intervals.
+const SUSPECT_REPORTS: f64 = 4.0;
+
 impl Master {
     // ---- watching the fleet ----
 
--- a/crates/scheduler/src/node/mod.rs
+++ b/crates/scheduler/src/node/mod.rs
@@ -1,9 +1,11 @@
 //! A node: the core that joins the slices. The program has the shell that does what it says.
 
+mod catalogue;
 mod core;
+mod follower;
 mod master;
-#[cfg(test)]
-mod world;
+mod outbox;
+mod peers;
 
 pub use self::core::Core;
 
--- /dev/null
+++ b/crates/scheduler/src/node/outbox.rs
@@ -0,0 +1,136 @@
+//! What a step asks for: its effects in their order, and what each request still out is for.
+
+use super::Effect;
+use crate::blocks::{self, PeerMessage};
+use crate::jobs::{OpenJob, Waiting};
+use crate::types::{Fence, NodeName, OpId, Span, Time};
+use crate::wire::cloud::CloudRequest;
+use crate::wire::state::StateRequest;
+use crate::wire::users;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How long the shell waits for the state service before it reports no answer.
+const STATE_PATIENCE: Span = Span::ms(1500);
+const CLOUD_PATIENCE: Span = Span::ms(5000);
+/// Requests of users are numbered by the shell, from 1.
+const FIRST_OP: u64 = 1 << 32;
+
+/// What an outstanding request to the state service is for.
+#[derive(Debug)]
+pub(super) enum Pending {
+    /// Keeping the copy of the job records up to date.
+    Jobs(Read),
+    Create {
+        waiting: Waiting,
+        job: Arc<OpenJob>,
+    },
+    Withdraw {
+        waiting: Waiting,
+    },
+    Counts,
+    Levels,
+    /// The leader's own, void when its fence has passed.
+    Leader(Fence, LeaderOp),
+}
+
+/// A read that follows a prefix.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Read {
+    /// A page of all keys; changes since the first page's revision are watched for afterwards.
+    Page { first_epoch: Option<u64> },
+    /// A watch that waits for changes.
+    Watch,
+    /// A watch that returns at once: what it says holds for all that was asked before `began`.
+    Sync { began: Time },
+}
+
+#[derive(Debug)]
+pub(super) enum LeaderOp {
+    LoadMachines,
+    LoadProgress,
+    Commit,
+    Correct { key: String },
+    SaveCounts,
+    Resign,
+}
+
+#[derive(Debug)]
+pub(super) struct Outbox {
+    me: NodeName,
+    effects: Vec<Effect>,
+    next_op: u64,
+    pending: BTreeMap<OpId, Pending>,
+}
+
+impl Outbox {
+    pub fn new(me: NodeName) -> Self {
+        Self { me, effects: Vec::new(), next_op: FIRST_OP, pending: BTreeMap::new() }
+    }
+
+    /// The effects of the step that ends.
+    pub fn take(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    fn op(&mut self) -> OpId {
+        self.next_op += 1;
+        OpId(self.next_op)
+    }
+
+    pub fn ask_state(&mut self, request: StateRequest, pending: Pending) {
+        let patience = match &request {
+            StateRequest::Watch { block_ms, .. } => Span::ms(block_ms + 2500),
+            _ => STATE_PATIENCE,
+        };
+        let op = self.ask_state_for(request, patience);
+        self.pending.insert(op, pending);
+    }
+
+    /// A request whose answer the caller knows by its id.
+    pub fn ask_state_for(&mut self, request: StateRequest, patience: Span) -> OpId {
+        let op = self.op();
+        self.effects.push(Effect::State { op, request, patience });
+        op
+    }
+
+    /// What an answer is for; each is taken once.
+    pub fn answered(&mut self, op: OpId) -> Option<Pending> {
+        self.pending.remove(&op)
+    }
+
+    pub fn waits_for(&self, what: impl Fn(&Pending) -> bool) -> bool {
+        self.pending.values().any(what)
+    }
+
+    /// Requests to the state service without an answer yet.
+    pub fn open(&self) -> usize {
+        self.pending.len()
+    }
+
+    pub fn ask_cloud(&mut self, request: CloudRequest) -> OpId {
+        let op = self.op();
+        self.effects.push(Effect::Cloud { op, request, patience: CLOUD_PATIENCE });
+        op
+    }
+
+    pub fn ask_worker(&mut self, addr: String, body: String, patience: Span) -> OpId {
+        let op = self.op();
+        self.effects.push(Effect::Worker { op, addr, body, patience });
+        op
+    }
+
+    pub fn tell(&mut self, to: &NodeName, message: PeerMessage) {
+        let bytes = blocks::encode(&self.me, message);
+        self.effects.push(Effect::Peer { to: to.clone(), bytes });
+    }
+
+    pub fn answer(&mut self, request: OpId, status: u16, body: String) {
+        let retry_after_s = matches!(status, 429 | 503).then_some(1);
+        self.effects.push(Effect::Answer { request, status, retry_after_s, body });
+    }
+
+    pub fn refuse(&mut self, request: OpId, status: u16, why: &str) {
+        self.answer(request, status, users::error(why));
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node/peers.rs
@@ -0,0 +1,87 @@
+//! The other controllers, as their pings show them.
+
+use crate::settings::Peer;
+use crate::types::{Fence, NodeName, Span, Time, Zone};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Silence after which a peer counts as away.
+const SILENCE: Span = Span::ms(2500);
+/// Beats that may be under way to a peer that is in step.
+const BEATS_UNDER_WAY: u64 = 4;
+
+#[derive(Debug)]
+struct State {
+    heard: Time,
+    state_ok: bool,
+    beat_at: (Fence, u64),
+    hears_workers: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Peers {
+    names: Vec<NodeName>,
+    states: BTreeMap<NodeName, State>,
+    /// When a leader last heard a worker of each zone: a new one must not take a zone that was cut
+    /// off before its time for one that has just fallen silent.
+    zones_heard: BTreeMap<Zone, Time>,
+}
+
+impl Peers {
+    pub fn new(peers: &[Peer]) -> Self {
+        let names = peers.iter().map(|p| p.name.clone()).collect();
+        Self { names, states: BTreeMap::new(), zones_heard: BTreeMap::new() }
+    }
+
+    /// All that the settings name, there or not.
+    pub fn names(&self) -> &[NodeName] {
+        &self.names
+    }
+
+    pub fn pinged(
+        &mut self,
+        from: NodeName,
+        state_ok: bool,
+        beat_at: (Fence, u64),
+        hears_workers: bool,
+        now: Time,
+    ) {
+        self.states.insert(from, State { heard: now, state_ok, beat_at, hears_workers });
+    }
+
+    fn there(&self, now: Time) -> impl Iterator<Item = (&NodeName, &State)> {
+        self.states.iter().filter(move |(_, p)| now.since(p.heard) < SILENCE)
+    }
+
+    pub fn live(&self, now: Time) -> BTreeSet<NodeName> {
+        self.there(now).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Whether one reaches the state service.
+    pub fn reach_state(&self, now: Time) -> bool {
+        self.there(now).any(|(_, p)| p.state_ok)
+    }
+
+    /// Whether workers that find no leader have turned to one lately.
+    pub fn hear_workers(&self, now: Time) -> bool {
+        self.there(now).any(|(_, p)| p.hears_workers)
+    }
+
+    /// Whether `name` has taken in the beats of `fence` up to about `beat`.
+    pub fn in_step(&self, name: &NodeName, fence: Fence, beat: u64) -> bool {
+        self.states.get(name).is_some_and(|p| p.beat_at.0 == fence && p.beat_at.1 + BEATS_UNDER_WAY >= beat)
+    }
+
+    pub fn zones_heard(&self) -> &BTreeMap<Zone, Time> {
+        &self.zones_heard
+    }
+
+    /// A worker of `zone` was heard at `at`, here or by an earlier leader.
+    pub fn heard_zone(&mut self, zone: &Zone, at: Time) {
+        match self.zones_heard.get_mut(zone) {
+            Some(heard) => *heard = at.max(*heard),
+            None => {
+                self.zones_heard.insert(zone.clone(), at);
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! factor; the highest wins. See `docs/design.md` for the source.
 
 use crate::jobs::Shape;
+use crate::settings::Operator;
 use crate::types::{Image, JobId, Kind, MachineId, Room, TypeName, Zone};
 use crate::workers::Health;
 use rand::Rng;
@@ -112,6 +113,8 @@
 /// changed is written. Earlier versions used 16 and read any number.
 pub const PARTS: u32 = 128;
 /// Parts saved at a time; the rest follows the next time.
+/// Prefix of the saved counts in the state service.
+pub const COUNTS_PREFIX: &str = "counts/";
 pub const PARTS_AT_ONCE: usize = 16;
 
 fn part_of(machine: &MachineId) -> u32 {
@@ -182,6 +185,15 @@
 }
 
 impl Factors {
+    pub fn of(operator: &Operator) -> Self {
+        Self {
+            degraded: operator.degraded_factor,
+            unknown: operator.unknown_factor,
+            empty: operator.empty_factor,
+            fetch_half_s: operator.fetch_half_s,
+        }
+    }
+
     fn health(&self, health: Health) -> f64 {
         match health {
             Health::Healthy => 1.0,
--- a/crates/scheduler/src/settings/mod.rs
+++ b/crates/scheduler/src/settings/mod.rs
@@ -118,6 +118,23 @@
     pub txn_ops: Option<usize>,
 }
 
+impl StateFacts {
+    /// The stricter of the present and the next limits holds from the start. The change comes without
+    /// notice, and what was written by the larger one could not be rewritten after it.
+    fn limits(&self) -> Limits {
+        let next = self.next.as_ref();
+        let least = |now: f64, next: Option<f64>| next.map_or(now, |next| now.min(next));
+        let value_kb = least(self.value_kb, next.and_then(|n| n.value_kb));
+        Limits {
+            rps: least(self.rps, next.and_then(|n| n.rps)),
+            write_rps: least(self.write_rps, next.and_then(|n| n.write_rps)),
+            // Whether a KiB counts as 1000 or 1024 need not be known.
+            value_bytes: (value_kb * 1000.0) as usize,
+            txn_ops: next.and_then(|n| n.txn_ops).map_or(self.txn_ops, |ops| ops.min(self.txn_ops)),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct CloudFacts {
     pub rps: f64,
@@ -408,7 +425,7 @@
         teams,
         objectives: f.objectives.clone(),
         workers: f.workers.clone(),
-        state: Limits::of(&f.state),
+        state: f.state.limits(),
         cloud: f.cloud.clone(),
         limits: f.machine_limits.clone(),
         operator: Operator::default(),
@@ -512,59 +529,14 @@
     }
 }
 
+/// A valid platform file, for tests.
+#[cfg(any(test, feature = "world"))]
+pub(crate) const SAMPLE: &str = include_str!("sample.toml");
+
 #[cfg(test)]
-pub mod tests {
+mod tests {
     use super::*;
 
-    pub const SAMPLE: &str = r#"
-node = "n0"
-site = "z0"
-api_addr = "10.0.0.1:8080"
-back = "10.0.0.1:8081"
-later_field = 3
-[[seeds]]
-node = "n1"
-site = "z1"
-peer_addr = "10.0.0.2:8081"
-[[seeds]]
-node = "n2"
-site = "z2"
-peer_addr = "10.0.0.3:8081"
-[outside]
-cloud = "10.2.0.2:1"
-state = "10.2.0.1:2"
-[facts]
-initial_size = 3
-zones = ["z0", "z1", "z2"]
-time_bound_ms = 5.0
-[[facts.teams]]
-name = "red"
-gpus = 4.0
-gpus_max = 12.0
-[[facts.teams]]
-name = "blue"
-gpus = 4.0
-gpus_max = 12.0
-[facts.workers]
-report_s = 3.0
-lease_s = 18.0
-gang_wait_s = 35.0
-gang_peer_s = 4.0
-cancel_s = 48.0
-[facts.state]
-rps = 250.0
-write_rps = 100.0
-value_kb = 16.0
-txn_ops = 12
-[facts.cloud]
-rps = 5.0
-list_lag_s = 8.0
-[facts.machine_limits]
-cpu_share = 0.05
-ram_mb = 72.0
-max_connections = 1500
-"#;
-
     fn keys(platform: &str, operator: Option<&str>) -> Vec<String> {
         match parse(("p", platform), operator.map(|t| ("o".into(), t))) {
             Ok(_) => Vec::new(),
--- a/crates/scheduler/src/store/mod.rs
+++ b/crates/scheduler/src/store/mod.rs
@@ -1,12 +1,8 @@
 //! The state service's limits, and the client's share of them.
 
-use crate::settings::StateFacts;
 use crate::types::Time;
 
-/// What the state service takes: the only place that knows its limits.
-///
-/// The stricter of the present and the next limits holds from the start. The change comes without
-/// notice, and what was written by the larger one could not be rewritten after it.
+/// What the state service takes, now and after its next limits come into force.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
     /// Requests a second.
@@ -19,21 +15,6 @@
     pub txn_ops: usize,
 }
 
-impl Limits {
-    pub fn of(facts: &StateFacts) -> Self {
-        let next = facts.next.as_ref();
-        let least = |now: f64, next: Option<f64>| next.map_or(now, |next| now.min(next));
-        let value_kb = least(facts.value_kb, next.and_then(|n| n.value_kb));
-        Self {
-            rps: least(facts.rps, next.and_then(|n| n.rps)),
-            write_rps: least(facts.write_rps, next.and_then(|n| n.write_rps)),
-            // Whether a KiB counts as 1000 or 1024 need not be known.
-            value_bytes: (value_kb * 1000.0) as usize,
-            txn_ops: next.and_then(|n| n.txn_ops).map_or(facts.txn_ops, |ops| ops.min(facts.txn_ops)),
-        }
-    }
-}
-
 /// A token bucket: `rate` a second, bursts of one second's worth unless said otherwise.
 #[derive(Debug)]
 pub struct Budget {
--- a/crates/scheduler/src/node/world/mod.rs
+++ b/crates/scheduler/src/world/mod.rs
@@ -8,7 +8,7 @@
 mod tests;
 mod workers;
 
-use super::{Core, Effect, Input, Method, Now};
+use crate::node::{Core, Effect, Input, Method, Now};
 use crate::settings::{Settings, parse};
 use crate::types::{OpId, Time, Wall};
 use rand::rngs::StdRng;
@@ -17,6 +17,7 @@
 use serde_json::{Value, json};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::hash::{DefaultHasher, Hash};
 use std::sync::Arc;
 
 pub const NODES: usize = 3;
@@ -187,6 +188,8 @@
     /// Held back by a cut, per link.
     held: Vec<(Host, Host, Event)>,
     pub rules: Rules,
+    /// Over all that the cores did, and when: the same for days that went the same way.
+    pub digest: DefaultHasher,
     /// Takes a guard out of a core after each of its steps.
     pub sabotage: Option<fn(&mut Core, u64)>,
 }
@@ -214,6 +217,7 @@
             cuts: BTreeMap::new(),
             held: Vec::new(),
             rules: Rules::new(settings[0].workers.cancel_s, &settings[0].teams),
+            digest: DefaultHasher::new(),
             sabotage: None,
             old: BTreeMap::new(),
             settings,
@@ -374,6 +378,7 @@
             self.rules.broken.push(format!("at {} ms: kept sums: {what}", self.now));
         }
         for effect in effects {
+            (self.now, i, format!("{effect:?}")).hash(&mut self.digest);
             self.effect(i, life, effect);
         }
     }
@@ -611,7 +616,7 @@
     for j in (0..nodes).filter(|j| *j != i) {
         text += &format!("[[seeds]]\nnode = \"n{j}\"\nsite = \"z{j}\"\npeer_addr = \"10.0.0.{j}:8081\"\n");
     }
-    let sample = crate::settings::tests::SAMPLE;
+    let sample = crate::settings::SAMPLE;
     text += &sample[sample.find("[outside]").unwrap_or(0)..];
     let text = text.replace("[facts.cloud]", &format!("{next}[facts.cloud]"));
     let text = text.replace("gpus_max = 12.0", &format!("gpus_max = {gpus}.0"));
--- a/crates/scheduler/src/node/world/tests.rs
+++ b/crates/scheduler/src/world/tests.rs
@@ -169,6 +169,24 @@
     }
 }
 
+/// Each seed's day goes the same way every time. With `--nocapture` the digests are printed: a change
+/// that is to leave the core's behaviour as it is leaves them as they are.
+#[test]
+fn a_seed_plays_the_same_day_again() {
+    use std::hash::Hasher;
+    let more = std::env::var("PEARFORD_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(3);
+    for seed in 1000..1000 + more {
+        let play = || {
+            let mut w = if seed % 3 == 0 { upgrade_day(seed, true) } else { day(seed, troubles) };
+            w.run_until(DAY_ENDS);
+            w.digest.finish()
+        };
+        let digest = play();
+        println!("seed {seed}: {digest:016x}");
+        assert_eq!(digest, play(), "seed {seed}");
+    }
+}
+
 /// A follower that nobody asked anything took its own idleness for a lost state service.
 #[test]
 fn idle_nodes_stay_fit_for_requests() {
@@ -199,7 +217,7 @@
         w.run_until(20_000);
         let leads = |w: &World, i: usize| {
             let at = Time::from_ms(1_000_000 + w.now);
-            w.nodes[i].core.as_ref().is_some_and(|c| c.seat.valid(at))
+            w.nodes[i].core.as_ref().is_some_and(|c| c.validly_leads(at))
         };
         let old = (0..NODES).find(|i| leads(&w, *i)).expect("somebody leads");
         w.at(20_001, Event::Fault(Fault::Refuse(old, true)));
@@ -480,8 +498,8 @@
             !w.rules.broken.is_empty()
         })
     };
-    assert!(with_pipelines(|core, _| core.mirror.take_out(Guard::Order)));
-    assert!(with_pipelines(|core, _| core.mirror.take_out(Guard::Cancellation)));
+    assert!(with_pipelines(|core, _| core.sabotage_graph(Guard::Order)));
+    assert!(with_pipelines(|core, _| core.sabotage_graph(Guard::Cancellation)));
     assert!(!with_pipelines(|_, _| {}));
 }
 
