Nomad's job files: HCL2 and JSON, one table of fields, translation to native jobs

Need: engineers rewrite job files by hand, and a GPU request once got half lost on the way.

Change: package crates/nomad. `hcl` parses with hcl-edit (which bounds nesting) and evaluates variables, locals, functions, loops and dynamic blocks within a budget of steps and bytes; `fields` is the one table from which files and API bodies are decoded and `pearford nomad fields` is printed; `translate` gives native jobs, or all faults at once with line, column and field path. Device blocks are summed.

Result: 72 job files give what stands beside them, a property over both forms holds, hostile files end with an error on a 2 MB stack. With the sum of devices replaced by the largest, the corpus fails.

--- /dev/null
+++ b/crates/nomad/tests/corpus/no-device-constraint.hcl
@@ -0,0 +1,29 @@
+job "dev" {
+  type = "batch"
+  namespace = "red"
+  meta {
+    pearford_image_gb = 1
+    pearford_expected_s = 20
+  }
+  
+  group "main" {
+    count = 3
+    task "work" {
+      driver = "docker"
+      config {
+        image = "img-1"
+      }
+      
+      resources {
+        cores = 1
+        device "nvidia/gpu" {
+          count = 2
+          constraint {
+            attribute = "${device.attr.memory}"
+            value = "80 GiB"
+          }
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/crates/nomad/tests/corpus/no-gang-service.hcl
@@ -0,0 +1,23 @@
+job "gang" {
+  type = "service"
+  namespace = "red"
+  meta {
+    pearford_image_gb = 1
+    pearford_gang = true
+  }
+  
+  group "main" {
+    count = 3
+    task "work" {
+      driver = "docker"
+      config {
+        image = "img-1"
+      }
+      
+      resources {
+        cores = 2
+        memory = 2048
+      }
+    }
+  }
+}
--- /dev/null
+++ b/crates/nomad/tests/corpus/no-network-service.hcl
@@ -0,0 +1,29 @@
+job "net" {
+  type = "batch"
+  namespace = "red"
+  meta {
+    pearford_image_gb = 1
+    pearford_expected_s = 20
+  }
+  
+  group "main" {
+    count = 1
+    network {
+      port "http" {}
+    }
+    service {
+      name = "api"
+    }
+    task "work" {
+      driver = "docker"
+      config {
+        image = "img-1"
+      }
+      
+      resources {
+        cores = 2
+        memory = 2048
+      }
+    }
+  }
+}
--- /dev/null
+++ b/crates/nomad/tests/corpus/no-syntax.hcl
@@ -0,0 +1,5 @@
+job "broken" {
+  group "g" {
+    count = = 3
+  }
+}
--- /dev/null
+++ b/crates/nomad/tests/corpus/no-too-long.hcl
@@ -0,0 +1,22 @@
+job "loops" {
+  type = "batch"
+  namespace = "red"
+  meta {
+    pearford_image_gb = 1
+    pearford_expected_s = 20
+  }
+  
+  group "main" {
+    count = 3
+    task "work" {
+      driver = "docker"
+      config {
+        image = "img-1"
+      }
+      
+      resources {
+        cores = length([for a in range(5000) : [for b in range(5000) : a * b]])
+      }
+    }
+  }
+}
--- /dev/null
+++ b/crates/nomad/tests/corpus/no-two-tasks.hcl
@@ -0,0 +1,26 @@
+job "sidecar" {
+  type = "batch"
+  namespace = "red"
+  meta {
+    pearford_image_gb = 1
+    pearford_expected_s = 20
+  }
+  
+  group "main" {
+    task "other" {
+      driver = "docker"
+      config { image = "x" }
+    }
+    task "work" {
+      driver = "docker"
+      config {
+        image = "img-1"
+      }
+      
+      resources {
+        cores = 2
+        memory = 2048
+      }
+    }
+  }
+}
--- /dev/null
+++ b/crates/nomad/tests/corpus/ok-comments.hcl
@@ -0,0 +1,25 @@
+job "comments" {
+  type = "batch"
+  namespace = "red"
+  meta {
+    pearford_image_gb = 1
+    pearford_expected_s = 20
+  }
+  // a comment
+  /* and
+     another */ # and one more
+  group "main" {
+    count = 3
+    task "work" {
+      driver = "docker"
+      config {
+        image = "img-1"
+      }
+      
+      resources {
+        cores = 2
+        memory = 2048
+      }
+    }
+  }
+}
--- a/crates/pearford/src/main.rs
+++ b/crates/pearford/src/main.rs
@@ -1,5 +1,6 @@
 #![forbid(unsafe_code)]
 
+mod nomad;
 mod shell;
 
 use clap::{Args, Parser, Subcommand};
@@ -25,6 +26,9 @@
 enum Command {
     /// Run a controller node until the process is killed.
     Serve(Files),
+    /// Work with Nomad's job files.
+    #[command(subcommand)]
+    Nomad(nomad::Command),
     /// Check the settings files, name each bad key, and exit non-zero if there is one.
     Check(Files),
 }
@@ -59,6 +63,7 @@
             }
             Err(code) => code,
         },
+        Command::Nomad(command) => nomad::run(command),
         Command::Serve(files) => match files.load() {
             Ok(settings) => serve(settings),
             Err(code) => code,
--- a/crates/scheduler/src/wire/users.rs
+++ b/crates/scheduler/src/wire/users.rs
@@ -11,7 +11,7 @@
 const MAX_AMOUNT: f64 = 1e9;
 const MAX_NAME: usize = 128;
 
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 struct Submission {
     id: String,
     job_class: String,
@@ -37,11 +37,11 @@
     #[serde(default)]
     due_s: Option<f64>,
     /// Read by hand, so that the error names the field.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "serde_json::Value::is_null")]
     awaits: serde_json::Value,
 }
 
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum WireShape {
     Array,
@@ -49,7 +49,7 @@
     Daemon,
 }
 
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum WireUrgency {
     Production,
@@ -162,6 +162,46 @@
     Ok((id, spec))
 }
 
+/// A submission as its user would send it, on one line.
+pub fn write_submission(id: &JobId, spec: &JobSpec) -> String {
+    let submission = Submission {
+        id: id.to_string(),
+        job_class: spec.kind.to_string(),
+        owner: spec.team.to_string(),
+        shape: match spec.shape {
+            Shape::Array => WireShape::Array,
+            Shape::Gang => WireShape::Ensemble,
+            Shape::Service => WireShape::Daemon,
+        },
+        urgency: match spec.priority {
+            Priority::Production => WireUrgency::Production,
+            Priority::High => WireUrgency::Urgent,
+            Priority::Normal => WireUrgency::Normal,
+            Priority::Low => WireUrgency::Idle,
+        },
+        shards: u64::from(spec.tasks),
+        vcpus: spec.room.cpus,
+        accelerators: spec.room.gpus,
+        memory_gb: spec.room.memory_gb,
+        bundle: spec.image.to_string(),
+        image_gb: spec.image_gb,
+        flavors: spec.types.as_ref().map(|types| types.iter().map(ToString::to_string).collect()),
+        region: spec.zone.as_ref().map(ToString::to_string),
+        together: spec.together,
+        spread: spec.spread,
+        preemptible: spec.spot,
+        expected_s: spec.estimate.as_secs(),
+        snapshot_every_s: spec.checkpoint.as_secs(),
+        snapshot_s: spec.save.as_secs(),
+        due_s: spec.deadline.map(Span::as_secs),
+        awaits: match spec.needs.as_slice() {
+            [] => serde_json::Value::Null,
+            needs => needs.iter().map(|n| n.as_str()).collect(),
+        },
+    };
+    serde_json::to_string(&submission).unwrap_or_default()
+}
+
 #[derive(Serialize)]
 struct Status<'a> {
     id: &'a str,
