--- a/crates/nomad/src/decode.rs
+++ b/crates/nomad/src/decode.rs
@@ -94,6 +94,39 @@
         self.blocks(name).first()
     }
 
+    /// Sets a field that was left out.
+    pub(crate) fn default_text(&mut self, name: &'static str, value: &str) {
+        if !self.is_bad(name) {
+            self.values.entry(name).or_insert((self.at, Value::Text(value.into())));
+        }
+    }
+
+    /// As clients send it to the API.
+    pub fn to_api(&self, form: &str) -> serde_json::Value {
+        let mut out = serde_json::Map::new();
+        for field in fields::of_form(form).filter(|f| !f.json.is_empty()) {
+            let value = match field.kind {
+                Kind::Block(inner) => self.block(kept(field)).map(|b| b.to_api(inner)),
+                Kind::Blocks(inner) => {
+                    let blocks = self.blocks(kept(field));
+                    (!blocks.is_empty()).then(|| blocks.iter().map(|b| b.to_api(inner)).collect())
+                }
+                Kind::Duration => self.seconds(kept(field)).map(|s| ((s * 1e9).round() as u64).into()),
+                _ => self.value(kept(field)).map(Value::to_json),
+            };
+            if let Some(value) = value {
+                out.insert(field.json.into(), value);
+            }
+        }
+        if let Some(label) = &self.label {
+            let keys: &[&str] = if form == "job" { &["ID", "Name"] } else { &["Name"] };
+            keys.iter().for_each(|key| {
+                out.insert((*key).into(), label.as_str().into());
+            });
+        }
+        serde_json::Value::Object(out)
+    }
+
     /// Marks fields of which nothing more need be said.
     pub(crate) fn bad_all(&mut self, names: &[&'static str]) {
         self.bad.extend(names);
@@ -423,7 +456,7 @@
 }
 
 /// Seconds of `1h30m`, `90s`, `250ms`.
-fn duration(text: &str) -> Result<f64, String> {
+pub(crate) fn duration(text: &str) -> Result<f64, String> {
     let wrong = || format!("must be a duration like \"30s\" or \"1h30m\", is \"{text}\"");
     let (mut seconds, mut rest) = (0.0, text.trim());
     if rest == "0" {
--- /dev/null
+++ b/crates/nomad/src/door/ids.rs
@@ -0,0 +1,60 @@
+//! Ids that the API gives out. They hold what they stand for, so that any node can look it up and none
+//! needs to be stored: the first half of the name's hash, then version, and group and task for allocations.
+
+use super::names::NameHash;
+
+const HASH: usize = 16;
+
+/// What an id stands for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Id {
+    /// Beginning of the name's hash.
+    pub hash: String,
+    pub version: u32,
+    /// Of an allocation: the group's place, and the task's by its progress.
+    pub task: Option<(u8, u32)>,
+}
+
+fn dashed(hex: &str) -> String {
+    format!("{}-{}-{}-{}-{}", &hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..])
+}
+
+/// Of an evaluation or a deployment.
+pub fn of_version(hash: &NameHash, version: u64) -> String {
+    dashed(&format!("{}{:08x}00000000", &hash.as_str()[..HASH], version as u32))
+}
+
+pub fn of_task(hash: &NameHash, version: u64, group: usize, task: u32) -> String {
+    // Tasks are at most 100,000: 17 bits; the top bit tells it from a version's.
+    let low = 0x8000_0000 | ((group as u32 & 0x7f) << 24) | (task & 0x00ff_ffff);
+    dashed(&format!("{}{:08x}{low:08x}", &hash.as_str()[..HASH], version as u32))
+}
+
+pub fn parse(id: &str) -> Option<Id> {
+    let hex: String = id.chars().filter(|c| *c != '-').collect();
+    if hex.len() != 32 || !hex.bytes().all(|b| b.is_ascii_hexdigit() && !b.is_ascii_uppercase()) {
+        return None;
+    }
+    let low = u32::from_str_radix(&hex[24..], 16).ok()?;
+    let task = (low & 0x8000_0000 != 0).then_some((((low >> 24) & 0x7f) as u8, low & 0x00ff_ffff));
+    Some(Id { hash: hex[..HASH].into(), version: u32::from_str_radix(&hex[16..24], 16).ok()?, task })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ids_are_read_back_and_others_refused() {
+        let hash = NameHash::of("red", "x");
+        let of = |id: &str| parse(id).expect("an id of ours");
+        assert_eq!(
+            of(&of_version(&hash, 7)),
+            Id { hash: hash.as_str()[..16].into(), version: 7, task: None }
+        );
+        assert_eq!(of(&of_task(&hash, 7, 5, 99_999)).task, Some((5, 99_999)));
+        for bad in ["", "x", "00000000-0000-0000-0000-00000000000g", "0000000000000000000000000000000é"] {
+            assert_eq!(parse(bad), None, "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/nomad/src/door/names.rs
@@ -0,0 +1,275 @@
+//! Durable records: one for each name, and one for each version of it.
+//!
+//! A name's record says which native jobs stand for it now, and what is under way between versions. It
+//! is never removed: it carries the final answer of the newest version, also after a purge. A version's
+//! record holds the job as it was registered.
+
+use crate::translate::{Job, Update, native_id};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use miniz_oxide::deflate::compress_to_vec;
+use miniz_oxide::inflate::decompress_to_vec_with_limit;
+use pearford_scheduler::jobs::Shape;
+use pearford_scheduler::settings::{Settings, Team};
+use pearford_scheduler::types::JobId;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+pub const PREFIX: &str = "nomad/";
+pub const NAMES: &str = "nomad/n/";
+const VERSIONS: &str = "nomad/v/";
+/// Bytes that a stored job may unfold to.
+const MAX_JOB: usize = 1024 * 1024;
+const COMPRESSION: u8 = 7;
+
+/// Stands for a namespace and a name in keys, which hold neither blanks nor many bytes.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NameHash(String);
+
+impl NameHash {
+    pub fn of(namespace: &str, name: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update((namespace.len() as u64).to_be_bytes());
+        hash.update(namespace.as_bytes());
+        hash.update(name.as_bytes());
+        Self(hash.finalize().iter().take(16).map(|b| format!("{b:02x}")).collect())
+    }
+
+    pub fn from_key(key: &str) -> Option<Self> {
+        key.strip_prefix(NAMES).map(|hash| Self(hash.into()))
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    pub fn key(&self) -> String {
+        format!("{NAMES}{}", self.0)
+    }
+
+    pub fn version_key(&self, version: u64) -> String {
+        format!("{VERSIONS}{}/{version:010}", self.0)
+    }
+
+    /// From which key on its versions lie.
+    pub fn versions_from(&self) -> String {
+        format!("{VERSIONS}{}/", self.0)
+    }
+}
+
+/// A native job that runs a part of a group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    pub id: JobId,
+    pub tasks: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GroupRecord {
+    pub name: String,
+    pub task: String,
+    pub parts: Vec<Part>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub update: Option<Update>,
+}
+
+impl GroupRecord {
+    pub fn tasks(&self) -> u32 {
+        self.parts.iter().map(|p| p.tasks).sum()
+    }
+}
+
+/// A service on its way from one version to the next.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Roll {
+    /// The version that runs as long as the new one doesn't.
+    pub from: u64,
+    /// Parts of earlier versions that are still there, by group, in the order in which they go.
+    pub olds: Vec<Old>,
+    /// Replicas of earlier versions that have gone already, by group.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub gone: Vec<(String, u32)>,
+    /// Time of day of its last step.
+    pub progressed_ms: u64,
+    /// It failed, and is kept as it stands.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub kept: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Old {
+    pub group: String,
+    #[serde(flatten)]
+    pub part: Part,
+}
+
+/// How the last roll ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ended {
+    Successful,
+    Failed,
+    /// The version is the one before, after the version between had failed.
+    Reverted,
+    /// A newer registration or a stop came in between.
+    Cancelled,
+}
+
+/// The record of a name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    pub namespace: String,
+    pub name: String,
+    pub version: u64,
+    pub digest: String,
+    pub service: bool,
+    pub priority: i64,
+    pub submitted_ms: u64,
+    /// Revision of the first registration, from the second on.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub created: u64,
+    pub groups: Vec<GroupRecord>,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub stopped: bool,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub purged: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub roll: Option<Roll>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<Ended>,
+    /// Native jobs that must still be withdrawn.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ending: Vec<JobId>,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+impl Head {
+    pub fn hash(&self) -> NameHash {
+        NameHash::of(&self.namespace, &self.name)
+    }
+
+    pub fn parts(&self) -> impl Iterator<Item = &Part> {
+        self.groups.iter().flat_map(|g| &g.parts)
+    }
+
+    /// All native jobs that it still answers for.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobId> {
+        let olds = self.roll.iter().flat_map(|r| &r.olds).map(|o| &o.part.id);
+        self.parts().map(|p| &p.id).chain(olds).chain(&self.ending)
+    }
+
+    pub fn to_value(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+/// The record of a version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    pub digest: String,
+    pub submitted_ms: u64,
+    /// The job as it was registered: JSON, deflated, in base 64.
+    job: String,
+}
+
+impl VersionRecord {
+    pub fn new(digest: &str, submitted_ms: u64, job: &serde_json::Value) -> Self {
+        let packed = compress_to_vec(job.to_string().as_bytes(), COMPRESSION);
+        Self { digest: digest.into(), submitted_ms, job: STANDARD_NO_PAD.encode(packed) }
+    }
+
+    pub fn job(&self) -> Option<serde_json::Value> {
+        let packed = STANDARD_NO_PAD.decode(&self.job).ok()?;
+        let text = decompress_to_vec_with_limit(&packed, MAX_JOB).ok()?;
+        serde_json::from_slice(&text).ok()
+    }
+
+    pub fn to_value(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+/// Tasks of each part of a group: one part, unless it is a service of which two versions can't stand
+/// side by side within the team's limit. Then it is rolled in steps, and each step is a part.
+///
+/// `most` parts at the most. A part of a service that is spread has an even number of tasks where
+/// there are two or more, so that half of each is half of all; one that is kept together is one part.
+pub fn split(job: &Job, group: usize, settings: &Settings, most: usize) -> Vec<u32> {
+    let g = &job.groups[group];
+    let (spec, tasks) = (&g.spec, g.spec.tasks);
+    let whole = vec![tasks];
+    let Some(team) = settings.teams.get(&spec.team) else { return whole };
+    if spec.shape != Shape::Service || spec.together || tasks < 2 || most < 2 {
+        return whole;
+    }
+    let beside = fitting(team, spec.room.cpus, spec.room.gpus).saturating_sub(tasks);
+    if beside >= tasks {
+        return whole;
+    }
+    let wanted = match g.update.max_parallel {
+        0 => tasks,
+        n => n.min(tasks),
+    };
+    let mut size = wanted.min(beside.max(1)).max(tasks.div_ceil(most as u32));
+    if spec.spread && size % 2 == 1 {
+        size += 1;
+    }
+    let full = tasks / size;
+    let rest = tasks % size;
+    std::iter::repeat_n(size, full as usize).chain((rest > 0).then_some(rest)).collect()
+}
+
+/// Tasks of this size that fit the team's limit when nothing else of it runs.
+fn fitting(team: &Team, cpus: f64, gpus: f64) -> u32 {
+    let of = |max: Option<f64>, each: f64| match max {
+        Some(max) if each > 0.0 => ((max + 1e-6) / each) as u32,
+        _ => u32::MAX,
+    };
+    of(team.max_cpus, cpus).min(of(team.max_gpus, gpus))
+}
+
+/// The native job of a part. It follows from what it stands for, so that two nodes that accept the same
+/// version at once make the same; `salt` tells it from one that a user happens to have.
+pub fn part_id(hash: &NameHash, version: u64, group: &str, part: usize, salt: u64) -> JobId {
+    native_id(&["door", hash.as_str(), &version.to_string(), group, &part.to_string(), &salt.to_string()])
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_of_any_script_and_length_get_keys_and_ids_of_their_own() {
+        let long = "x".repeat(512);
+        let names = ["a", "b", "ab", "a b", "señal", "地震", "рой", "j/x", long.as_str()];
+        let mut keys = std::collections::BTreeSet::new();
+        let mut ids = std::collections::BTreeSet::new();
+        for namespace in ["", "a", "default", "地"] {
+            for name in names {
+                let hash = NameHash::of(namespace, name);
+                let key = hash.version_key(u64::MAX);
+                assert!(key.len() <= 200 && !key.contains(' '), "{key}");
+                assert!(keys.insert(hash.key()), "{namespace}/{name}");
+                for (version, group, part) in
+                    [(0, "g", 0), (0, "g", 1), (1, "g", 0), (0, "h", 0), (0, "g0", 0)]
+                {
+                    let id = part_id(&hash, version, group, part, 0);
+                    assert!(pearford_scheduler::wire::users::job_id(id.as_str()).is_some(), "{id}");
+                    assert!(ids.insert(id), "{namespace}/{name} {version} {group} {part}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn a_job_comes_back_from_its_record_and_a_bomb_does_not() {
+        let job = serde_json::json!({"ID": "x", "Meta": {"k": "v".repeat(40_000)}});
+        let record = VersionRecord::new("d", 7, &job);
+        assert!(record.to_value().len() < 1000, "{}", record.to_value().len());
+        assert_eq!(record.job(), Some(job));
+        let bomb = VersionRecord::new("d", 7, &serde_json::json!("x".repeat(2 * MAX_JOB)));
+        assert_eq!(bomb.job(), None);
+    }
+}
--- /dev/null
+++ b/crates/nomad/src/door/tests/mod.rs
@@ -0,0 +1,29 @@
+//! The door in the seeded world of the core.
+
+mod histories;
+mod placements;
+mod rolls;
+
+use crate::door::Door;
+use crate::operator::NomadSettings;
+use pearford_scheduler::feature::{Call, Feature, Verb};
+use serde_json::{Value, json};
+
+pub(super) fn door() -> Box<dyn Feature> {
+    Box::new(Door::new(NomadSettings::default()).expect("the defaults are valid"))
+}
+
+pub(super) fn call(verb: Verb, path: &str, query: &str, body: &Value) -> Call {
+    let body = if body.is_null() { Vec::new() } else { body.to_string().into_bytes() };
+    Call { verb, path: path.into(), query: query.into(), token: None, body }
+}
+
+/// A job of one group; `run` makes it another version of the same work.
+pub(super) fn job(name: &str, namespace: &str, kind: &str, count: u32, run: u32) -> Value {
+    json!({"ID": name, "Name": name, "Namespace": namespace, "Type": kind, "Priority": 50, "Datacenters": ["*"],
+        "Meta": {"pearford_class": format!("c-{kind}"), "pearford_image_gb": "1", "pearford_expected_s": "5",
+            "pearford_run": run.to_string()},
+        "TaskGroups": [{"Name": "g", "Count": count, "Tasks": [{"Name": "t", "Driver": "docker",
+            "Config": {"image": format!("img-{}", run % 3)},
+            "Resources": {"Cores": 2, "MemoryMB": 4096, "Devices": [{"Name": "nvidia/gpu", "Count": 1}]}}]}]})
+}
--- /dev/null
+++ b/crates/nomad/src/door/tokens.rs
@@ -0,0 +1,127 @@
+//! Who may do what: tokens, stored as hashes.
+
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// A token that the operators have given out.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Token {
+    /// For logs and errors.
+    pub name: String,
+    /// SHA-256 of the token, as 64 hexadecimal digits (`printf %s TOKEN | sha256sum`).
+    pub sha256: String,
+    /// Namespaces that it is good for; `*` is all.
+    pub namespaces: Vec<String>,
+    /// Whether it may register, stop and plan, not only read.
+    #[serde(default)]
+    pub write: bool,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tokens {
+    known: Vec<([u8; 32], Token)>,
+}
+
+/// What a caller may do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Caller<'a> {
+    /// No tokens are configured: everybody on this machine may do everything.
+    Anybody,
+    Holder(&'a Token),
+}
+
+impl Tokens {
+    /// Takes them as they are configured; errors name token and remedy.
+    pub fn new(tokens: &[Token]) -> Result<Self, Vec<String>> {
+        let (mut known, mut faults) = (Vec::new(), Vec::new());
+        for token in tokens {
+            match parse(&token.sha256) {
+                Some(hash) => known.push((hash, token.clone())),
+                None => faults.push(format!(
+                    "tokens.{}.sha256: must be 64 hexadecimal digits; make them with `printf %s TOKEN | sha256sum`",
+                    token.name
+                )),
+            }
+            if token.namespaces.is_empty() {
+                faults.push(format!("tokens.{}.namespaces: is empty; name some, or \"*\"", token.name));
+            }
+        }
+        if faults.is_empty() { Ok(Self { known }) } else { Err(faults) }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Whose token it is. Takes the same time whichever it is, and whether it is any.
+    pub fn caller(&self, token: Option<&str>) -> Option<Caller<'_>> {
+        if self.known.is_empty() {
+            return Some(Caller::Anybody);
+        }
+        let given: [u8; 32] = Sha256::digest(token?.as_bytes()).into();
+        let mut found = None;
+        for (hash, token) in &self.known {
+            if bool::from(hash.ct_eq(&given)) {
+                found = Some(Caller::Holder(token));
+            }
+        }
+        found
+    }
+}
+
+fn parse(hex: &str) -> Option<[u8; 32]> {
+    let mut out = [0; 32];
+    if hex.len() != 64 || !hex.is_ascii() {
+        return None;
+    }
+    for (byte, pair) in out.iter_mut().zip(hex.as_bytes().chunks(2)) {
+        *byte = u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()?;
+    }
+    Some(out)
+}
+
+impl Caller<'_> {
+    pub fn may_read(&self, namespace: &str) -> bool {
+        match self {
+            Caller::Anybody => true,
+            Caller::Holder(token) => token.namespaces.iter().any(|n| n == "*" || n == namespace),
+        }
+    }
+
+    pub fn may_write(&self, namespace: &str) -> bool {
+        match self {
+            Caller::Anybody => true,
+            Caller::Holder(token) => token.write && self.may_read(namespace),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn token(name: &str, secret: &str, namespaces: &[&str], write: bool) -> Token {
+        let hash = Sha256::digest(secret.as_bytes());
+        let sha256 = hash.iter().map(|b| format!("{b:02x}")).collect();
+        let namespaces = namespaces.iter().map(|n| n.to_string()).collect();
+        Token { name: name.into(), sha256, namespaces, write }
+    }
+
+    #[test]
+    fn a_token_is_good_for_its_namespaces_and_verbs_only() {
+        let known =
+            Tokens::new(&[token("ci", "s3cret", &["red"], true), token("eyes", "look", &["*"], false)]);
+        let known = known.expect("valid");
+        let ci = known.caller(Some("s3cret")).expect("known");
+        assert!(ci.may_write("red") && ci.may_read("red") && !ci.may_read("blue") && !ci.may_write("blue"));
+        let eyes = known.caller(Some("look")).expect("known");
+        assert!(eyes.may_read("blue") && !eyes.may_write("blue"));
+        for unknown in [None, Some(""), Some("s3cre"), Some("s3cret ")] {
+            assert_eq!(known.caller(unknown), None, "{unknown:?}");
+        }
+        assert!(Tokens::new(&[Token { sha256: "xyz".into(), ..token("a", "b", &["*"], true) }]).is_err());
+        assert!(Tokens::new(&[]).expect("valid").caller(None).is_some_and(|c| c.may_write("any")));
+    }
+}
--- /dev/null
+++ b/crates/nomad/src/door/upkeep.rs
@@ -0,0 +1,202 @@
+//! What the leader does for names beside requests: rolls, what is left to withdraw, old versions. One
+//! commit at a time, from what the node has to spare.
+
+use super::names::{Ended, Head, NameHash, VersionRecord};
+use super::rolls::{self, Facts, Health, Step};
+use super::versions::{self, VERSIONS_KEPT, Writes};
+use crate::decode;
+use crate::fault::Faults;
+use crate::translate::{Context, Job, translate};
+use pearford_scheduler::feature::{Action, Outcome, Share, View};
+use pearford_scheduler::types::{Fence, Span, Stamp, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+const EVERY: Span = Span::ms(500);
+/// After a commit that came to nothing.
+const PAUSE: Span = Span::ms(1000);
+/// Names looked at for a roll in one step.
+const ROLLS_AT_ONCE: usize = 64;
+
+#[derive(Debug, Default)]
+pub struct Upkeep {
+    /// Names with a roll, or with native jobs left to withdraw.
+    active: BTreeSet<NameHash>,
+    /// Names with versions beyond those that are kept.
+    untidy: BTreeSet<NameHash>,
+    /// Where the next look at the active ones begins.
+    after: Option<NameHash>,
+    health: Health,
+    fence: Option<Fence>,
+    committing: Option<u64>,
+    next: Time,
+    salt: u64,
+    steps: u64,
+    failed: u64,
+}
+
+impl Upkeep {
+    pub fn learned(&mut self, hash: &NameHash, head: &Head) {
+        if head.roll.as_ref().is_some_and(|r| !r.kept) || !head.ending.is_empty() {
+            self.active.insert(hash.clone());
+        } else if self.active.remove(hash) {
+            self.health.forget(hash.as_str(), head);
+        }
+        if head.version > VERSIONS_KEPT {
+            self.untidy.insert(hash.clone());
+        }
+    }
+
+    pub fn committed(&mut self, tag: u64, outcome: &Outcome, now: Time) {
+        if self.committing != Some(tag) {
+            return;
+        }
+        self.committing = None;
+        if let Outcome::Done { .. } = outcome {
+            self.steps += 1;
+        } else {
+            // The records may have changed meanwhile: it is decided anew from what they say then.
+            self.salt += u64::from(matches!(outcome, Outcome::Conflict(_)));
+            self.next = now + PAUSE;
+        }
+    }
+
+    /// The next commit, if one is due.
+    pub fn tick(
+        &mut self,
+        view: &View<'_>,
+        heads: &BTreeMap<NameHash, Head>,
+        context: &Context,
+        tag: u64,
+    ) -> Option<Action> {
+        if self.fence != view.leads {
+            // What an earlier leader saw counts for nothing: health is counted anew.
+            self.fence = view.leads;
+            self.health.clear();
+            self.committing = None;
+        }
+        if view.leads.is_none() || self.committing.is_some() || view.now < self.next {
+            return None;
+        }
+        self.next = view.now + EVERY;
+        let from = self.after.take();
+        let later = |h: &&NameHash| from.as_ref().is_none_or(|from| *h > from);
+        let mut turn: Vec<NameHash> = self.active.iter().filter(later).take(ROLLS_AT_ONCE).cloned().collect();
+        if turn.len() < ROLLS_AT_ONCE {
+            let more = ROLLS_AT_ONCE - turn.len();
+            turn.extend(self.active.iter().filter(|h| !later(h)).take(more).cloned());
+        }
+        let mut writes = None;
+        for hash in turn {
+            let Some(head) = heads.get(&hash) else { continue };
+            let next = if head.ending.is_empty() {
+                self.roll(view, &hash, head, context)
+            } else {
+                versions::end_some(view, &hash)
+            };
+            self.after = Some(hash);
+            if next.is_some() {
+                writes = next;
+                break;
+            }
+        }
+        let Writes { conditions, changes } = writes.or_else(|| self.tidy(view))?;
+        self.committing = Some(tag);
+        Some(Action::Commit { tag, share: Share::Upkeep, conditions, changes })
+    }
+
+    fn tidy(&mut self, view: &View<'_>) -> Option<Writes> {
+        let hash = self.untidy.first()?.clone();
+        let writes = versions::tidy(view, &hash);
+        if writes.is_none() {
+            self.untidy.remove(&hash);
+        }
+        writes
+    }
+
+    /// The next step of a roll.
+    fn roll(&mut self, view: &View<'_>, hash: &NameHash, head: &Head, context: &Context) -> Option<Writes> {
+        let (stamp, _) = view.records.get(&hash.key())?;
+        let roll = head.roll.as_ref()?;
+        let mut parts = BTreeMap::new();
+        for group in &head.groups {
+            let min = group.update.unwrap_or_default().min_healthy;
+            for part in &group.parts {
+                let open = versions::is_open(view, &part.id);
+                let running = view.standing(&part.id).map_or(0, |(_, running)| running);
+                let waiting = view.waiting(&part.id).unwrap_or(0);
+                let now = if open { (running, waiting) } else { (0, 0) };
+                let seen = self.health.see(hash.as_str(), &part.id, now, part.tasks, min, view.now);
+                parts.insert(part.id.clone(), seen);
+            }
+        }
+        let fits = |group: &str| {
+            let part = head.groups.iter().find(|g| g.name == group).and_then(|g| g.parts.first());
+            let spec = part.and_then(|p| view.jobs.get(&p.id)).and_then(|k| k.record.open()).map(|j| &j.spec);
+            spec.is_none_or(|spec| rolls::fits(view.room_left(&spec.team), &spec.room))
+        };
+        let facts = Facts {
+            parts: &parts,
+            fits: &fits,
+            open: &|id| versions::is_open(view, id),
+            unchanged: self.health.unchanged(hash.as_str(), view.now),
+            wall_ms: view.wall.0,
+        };
+        match rolls::next(head, roll, &facts) {
+            Step::Wait => None,
+            Step::Withdraw(id) => {
+                self.health.touched(hash.as_str(), view.now);
+                let next = rolls::without(head, &id, view.wall.0);
+                Some(versions::write_roll(view, stamp, &next, Some(&id)))
+            }
+            Step::Finish => {
+                let ended =
+                    if head.ended == Some(Ended::Reverted) { Ended::Reverted } else { Ended::Successful };
+                let next = Head { roll: None, ended: Some(ended), ..head.clone() };
+                tracing::info!(job = head.name, version = head.version, "the new version runs alone");
+                Some(versions::write_roll(view, stamp, &next, None))
+            }
+            Step::Fail => {
+                self.failed += 1;
+                Some(self.fail(view, stamp, head, context))
+            }
+        }
+    }
+
+    /// A failed roll goes back where it is to and can; else it is kept as it stands.
+    fn fail(&self, view: &View<'_>, stamp: Stamp, head: &Head, context: &Context) -> Writes {
+        let reverts = head.groups.iter().any(|g| g.update.is_some_and(|u| u.auto_revert));
+        // A way back that fails too is not turned once more.
+        if reverts
+            && head.ended != Some(Ended::Reverted)
+            && let Some(before) = before(view, head, context)
+            && let Some(writes) = versions::revert(view, stamp, head, &before, self.salt)
+        {
+            tracing::warn!(job = head.name, version = head.version, "the roll has failed; goes back");
+            return writes;
+        }
+        tracing::warn!(job = head.name, version = head.version, "the roll has failed; kept as it stands");
+        let mut next = head.clone();
+        if let Some(roll) = &mut next.roll {
+            roll.kept = true;
+        }
+        next.ended = Some(Ended::Failed);
+        versions::write_roll(view, stamp, &next, None)
+    }
+
+    pub fn metrics(&self, lines: &mut Vec<String>) {
+        lines.push(format!("pearford_nomad_rolls {}", self.active.len()));
+        lines.push(format!("pearford_nomad_upkeep_commits {}", self.steps));
+        lines.push(format!("pearford_nomad_rolls_failed {}", self.failed));
+    }
+}
+
+/// The version before a roll, as it was registered.
+fn before(view: &View<'_>, head: &Head, context: &Context) -> Option<Job> {
+    let from = head.roll.as_ref()?.from;
+    let (_, record) = view.records.get(&head.hash().version_key(from))?;
+    let record: VersionRecord = serde_json::from_str(record).ok()?;
+    let mut faults = Faults::default();
+    let mut section = decode::api(&record.job()?, &mut faults);
+    section.default_text("namespace", &head.namespace);
+    translate(&section, context, faults).ok()
+}
--- a/crates/nomad/src/hcl/eval.rs
+++ b/crates/nomad/src/hcl/eval.rs
@@ -77,7 +77,10 @@
         match self.steps.checked_sub(1) {
             Some(left) => self.steps = left,
             None => {
-                return Err(Error::new(span, "takes too long to evaluate; write it out, or in smaller loops"));
+                return Err(Error::new(
+                    span,
+                    "takes too long to evaluate; write it out, or in smaller loops",
+                ));
             }
         }
         Ok(())
--- a/crates/nomad/src/lib.rs
+++ b/crates/nomad/src/lib.rs
@@ -5,11 +5,13 @@
 #![forbid(unsafe_code)]
 
 pub mod decode;
+pub mod door;
 pub mod fault;
 pub mod fields;
 
 pub mod hcl;
 pub mod operator;
+pub mod schema;
 pub mod source;
 pub mod translate;
 
--- a/crates/nomad/src/operator.rs
+++ b/crates/nomad/src/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' own settings for Nomad's files and door (YAML).
 
+use crate::door::tokens::{Token, Tokens};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +11,16 @@
 pub struct NomadSettings {
     /// Where clients connect; without it the door is off.
     pub listen: Option<SocketAddr>,
+    /// Who may use the door. Without any, it may only listen on loopback.
+    pub tokens: Vec<Token>,
+    /// Requests that may wait for the state service at a time.
+    pub max_waiting: usize,
+    /// Blocking queries that may wait for a change at a time.
+    pub max_blocking: usize,
+    /// How long one waits at most, whatever it asks for.
+    pub max_wait_s: f64,
+    /// Connections at a time; they come out of the node's.
+    pub max_connections: usize,
     /// MHz of `resources.cpu` that make one CPU. Without it `cpu` is refused.
     pub mhz_per_cpu: Option<f64>,
     /// MB of `resources.memory` that make one GB: 1024 or 1000, as machines' sizes are meant.
@@ -38,6 +49,11 @@
     fn default() -> Self {
         Self {
             listen: None,
+            tokens: Vec::new(),
+            max_waiting: 256,
+            max_blocking: 600,
+            max_wait_s: 60.0,
+            max_connections: 700,
             mhz_per_cpu: None,
             mb_per_gb: 1024.0,
             namespaces: BTreeMap::new(),
@@ -50,18 +66,22 @@
 }
 
 impl NomadSettings {
-    /// Reads the file; the error names key and remedy.
-    pub fn parse(text: &str) -> Result<Self, Vec<String>> {
-        let value: serde_yaml_ng::Value = serde_yaml_ng::from_str(text).map_err(|e| vec![e.to_string()])?;
-        // An empty or all-comment file is a valid way of saying "defaults".
-        let settings: Self = match value.is_null() {
+    /// Reads the operators' `nomad` section; errors name key and remedy.
+    pub fn of(section: serde_yaml_ng::Value) -> Result<Self, Vec<String>> {
+        // An empty or all-comment section is a valid way of saying "defaults".
+        let settings: Self = match section.is_null() {
             true => Self::default(),
-            false => serde_yaml_ng::from_str(text).map_err(|e| vec![e.to_string()])?,
+            false => serde_yaml_ng::from_value(section).map_err(|e| vec![e.to_string()])?,
         };
         let faults = settings.faults();
         if faults.is_empty() { Ok(settings) } else { Err(faults) }
     }
 
+    /// As `of`, from the section's text.
+    pub fn parse(text: &str) -> Result<Self, Vec<String>> {
+        Self::of(serde_yaml_ng::from_str(text).map_err(|e| vec![e.to_string()])?)
+    }
+
     fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         let mut positive = |key: &str, value: Option<f64>| {
@@ -82,6 +102,26 @@
                 "devices.{device}: names no machine type ({types:?}); name one or leave it out"
             ));
         }
+        if !(self.max_wait_s >= 1.0 && self.max_wait_s <= 600.0) {
+            faults.push(format!("max_wait_s: must be from 1 to 600, is {}", self.max_wait_s));
+        }
+        for (key, value, least) in [
+            ("max_waiting", self.max_waiting, 1),
+            ("max_blocking", self.max_blocking, 1),
+            ("max_connections", self.max_connections, 2),
+        ] {
+            if value < least || value > 100_000 {
+                faults.push(format!("{key}: must be from {least} to 100000, is {value}"));
+            }
+        }
+        if let Err(more) = Tokens::new(&self.tokens) {
+            faults.extend(more);
+        }
+        if let Some(listen) = self.listen.filter(|l| !l.ip().is_loopback() && self.tokens.is_empty()) {
+            faults.push(format!(
+                "listen: {listen} can be reached from elsewhere; give `tokens`, or listen on 127.0.0.1"
+            ));
+        }
         faults
     }
 }
--- a/crates/nomad/src/translate.rs
+++ b/crates/nomad/src/translate.rs
@@ -8,6 +8,7 @@
 use pearford_scheduler::jobs::{JobSpec, Priority, Shape};
 use pearford_scheduler::types::{JobId, Room, Span};
 use pearford_scheduler::wire::users;
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -52,7 +53,7 @@
 }
 
 /// How a service goes from one version to the next.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Update {
     /// Replicas replaced at a time; 0: all.
     pub max_parallel: u32,
--- a/crates/pearford/src/main.rs
+++ b/crates/pearford/src/main.rs
@@ -1,12 +1,19 @@
 #![forbid(unsafe_code)]
 
+mod files;
 mod nomad;
 mod shell;
 
 use clap::{Args, Parser, Subcommand};
-use pearford_scheduler::settings::{self, Settings};
+use files::Loaded;
+use pearford_nomad::door::Door;
+use pearford_nomad::operator::NomadSettings;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// How much longer than the longest query an answer of a door may take.
+const ANSWER_SLACK_S: f64 = 10.0;
 
 /// A cluster scheduler: takes jobs from users, rents machines, and runs the jobs' tasks on them.
 ///
@@ -44,11 +51,9 @@
 }
 
 impl Files {
-    fn load(&self) -> Result<Settings, ExitCode> {
-        settings::load(&self.config, self.operator.as_deref()).map_err(|faults| {
-            for fault in &faults {
-                eprintln!("pearford: {fault}");
-            }
+    fn load(&self) -> Result<Loaded, ExitCode> {
+        files::load(&self.config, self.operator.as_deref()).map_err(|faults| {
+            faults.iter().for_each(|fault| eprintln!("pearford: {fault}"));
             ExitCode::from(2)
         })
     }
@@ -57,7 +62,7 @@
 fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Check(files) => match files.load() {
-            Ok(settings) => {
+            Ok(Loaded { settings, .. }) => {
                 println!("settings are valid: node {}, {} peers", settings.node, settings.peers.len());
                 ExitCode::SUCCESS
             }
@@ -65,13 +70,13 @@
         },
         Command::Nomad(command) => nomad::run(command),
         Command::Serve(files) => match files.load() {
-            Ok(settings) => serve(settings),
+            Ok(loaded) => serve(loaded),
             Err(code) => code,
         },
     }
 }
 
-fn serve(settings: Settings) -> ExitCode {
+fn serve(loaded: Loaded) -> ExitCode {
     let level = std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into());
     let filter = tracing_subscriber::EnvFilter::try_new(format!("off,pearford={level}"))
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("off,pearford=info"));
@@ -88,11 +93,31 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(shell::run(settings)) {
+    let doors = match loaded.nomad.map(nomad_door).transpose() {
+        Ok(door) => door.flatten().into_iter().collect(),
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("pearford: nomad.{fault}"));
+            return ExitCode::from(2);
+        }
+    };
+    match runtime.block_on(shell::run(loaded.settings, doors)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pearford: can't listen: {error}; check api_addr and back in the settings");
+            eprintln!(
+                "pearford: can't listen: {error}; check api_addr, back and the features' `listen` in the settings"
+            );
             ExitCode::FAILURE
         }
     }
 }
+
+/// Nomad's door, if it is to listen anywhere.
+fn nomad_door(settings: NomadSettings) -> Result<Option<shell::Door>, Vec<String>> {
+    let Some(listen) = settings.listen else { return Ok(None) };
+    Ok(Some(shell::Door {
+        listen,
+        connections: settings.max_connections,
+        patience: Duration::from_secs_f64(settings.max_wait_s + ANSWER_SLACK_S),
+        feature: Box::new(Door::new(settings)?),
+    }))
+}
--- a/crates/pearford/src/nomad.rs
+++ b/crates/pearford/src/nomad.rs
@@ -71,9 +71,7 @@
     fn submissions(&self) -> Result<Vec<String>, Vec<String>> {
         let settings = match &self.operator {
             None => NomadSettings::default(),
-            Some(path) => NomadSettings::parse(&read(path)?).map_err(|faults| {
-                faults.iter().map(|f| format!("{}: {f}", path.display())).collect::<Vec<_>>()
-            })?,
+            Some(path) => crate::files::nomad(path)?,
         };
         let context = Context { settings, zones: Vec::new() };
         let job = source::job(&read(&self.file)?, &self.assignments()?, &context);
--- a/crates/pearford/src/shell.rs
+++ b/crates/pearford/src/shell.rs
@@ -7,6 +7,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use pearford_scheduler::feature::{Call, Feature, Verb};
 use pearford_scheduler::node::{Core, Effect, Input, Method, Now};
 use pearford_scheduler::settings::{Peer, Settings};
 use pearford_scheduler::types::{NodeName, OpId, Span, Time, Wall};
@@ -40,16 +41,34 @@
 struct Reply {
     status: u16,
     retry_after_s: Option<u32>,
+    headers: Vec<(&'static str, String)>,
     body: String,
 }
 
+impl Reply {
+    fn error(status: u16, retry_after_s: Option<u32>, why: &str) -> Self {
+        Self { status, retry_after_s, headers: Vec::new(), body: pearford_scheduler::wire::users::error(why) }
+    }
+}
+
+/// A feature with a listener of its own.
+pub struct Door {
+    pub feature: Box<dyn Feature>,
+    pub listen: SocketAddr,
+    /// Connections at a time; they come out of the node's.
+    pub connections: usize,
+    /// How long an answer may take: queries may wait for a change.
+    pub patience: Duration,
+}
+
 enum Message {
     Input(Input),
     Http { method: Method, path: String, body: Vec<u8>, reply: oneshot::Sender<Reply> },
+    Call { slot: usize, call: Call, reply: oneshot::Sender<Reply> },
 }
 
 /// Runs the node until its process is killed.
-pub async fn run(settings: Settings) -> std::io::Result<()> {
+pub async fn run(settings: Settings, doors: Vec<Door>) -> std::io::Result<()> {
     let settings = Arc::new(settings);
     let api = TcpListener::bind(settings.api_addr).await?;
     let back = TcpListener::bind(settings.peer_addr).await?;
@@ -57,8 +76,17 @@
 
     // Some sockets stay for the state service, cloud, workers and peers.
     let spare = (settings.limits.max_connections / 5).clamp(8, 300);
-    let connections = Arc::new(Semaphore::new(settings.limits.max_connections - spare));
-    tokio::spawn(serve_api(api, connections, tx.clone()));
+    let mut left = settings.limits.max_connections - spare;
+    let mut core = Core::new(settings.clone(), rand::random());
+    for (slot, door) in doors.into_iter().enumerate() {
+        let listener = TcpListener::bind(door.listen).await?;
+        // Users and workers keep half, however many a door asks for.
+        let connections = door.connections.min(left / 2).max(1);
+        left -= connections;
+        tokio::spawn(serve_door(listener, connections, slot, door.patience, tx.clone()));
+        core = core.with_feature(door.feature);
+    }
+    tokio::spawn(serve_api(api, Arc::new(Semaphore::new(left)), tx.clone()));
     tokio::spawn(serve_peers(back, settings.peers.len() * 4 + 4, tx.clone()));
     let peers: HashMap<NodeName, mpsc::Sender<Vec<u8>>> =
         settings.peers.iter().map(|p| (p.name.clone(), dial_peer(p.clone()))).collect();
@@ -78,7 +106,6 @@
         steady: Time::from_ms(start.elapsed().as_millis() as u64 + 1_000_000),
         wall: Wall(SystemTime::now().duration_since(UNIX_EPOCH).map(|d| d.as_millis() as u64).unwrap_or(0)),
     };
-    let mut core = Core::new(settings.clone(), rand::random());
     let mut answers: HashMap<OpId, oneshot::Sender<Reply>> = HashMap::new();
     let mut next_request = 0;
     let mut ticks = tokio::time::interval(TICK);
@@ -97,13 +124,19 @@
                 answers.insert(request, reply);
                 Input::Http { request, method, path, body }
             }
+            Message::Call { slot, call, reply } => {
+                next_request += 1;
+                let request = OpId(next_request);
+                answers.insert(request, reply);
+                Input::Call { slot, request, call }
+            }
         };
         for effect in core.step(clock(), input) {
             match effect {
-                Effect::Answer { request, status, retry_after_s, body } => {
+                Effect::Answer { request, status, retry_after_s, headers, body } => {
                     if let Some(reply) = answers.remove(&request) {
                         // The asker may have gone meanwhile; nothing is left to do then.
-                        let _ = reply.send(Reply { status, retry_after_s, body });
+                        let _ = reply.send(Reply { status, retry_after_s, headers, body });
                     }
                 }
                 Effect::Peer { to, bytes } => {
@@ -194,7 +227,55 @@
         .then(|method, path: warp::path::FullPath, length, body, tx| async move {
             handle(method, path.as_str().to_string(), length, body, tx).await
         });
-    let service = TowerToHyperService::new(warp::service(filter));
+    accept(listener, connections, TowerToHyperService::new(warp::service(filter))).await;
+}
+
+/// Serves a feature's listener.
+async fn serve_door(
+    listener: TcpListener,
+    connections: usize,
+    slot: usize,
+    patience: Duration,
+    tx: mpsc::Sender<Message>,
+) {
+    let filter = warp::any()
+        .and(warp::method())
+        .and(warp::path::full())
+        .and(warp::query::raw().or(warp::any().map(String::new)).unify())
+        .and(warp::header::optional::<u64>("content-length"))
+        .and(warp::header::optional::<String>("x-nomad-token"))
+        .and(warp::header::optional::<String>("authorization"))
+        .and(warp::body::stream())
+        .and(warp::any().map(move || tx.clone()))
+        .then(
+            move |method,
+                  path: warp::path::FullPath,
+                  query,
+                  length,
+                  token: Option<String>,
+                  bearer: Option<String>,
+                  body,
+                  tx| async move {
+                let bearer = bearer.and_then(|b| b.strip_prefix("Bearer ").map(str::to_string));
+                let head = (method, path.as_str().to_string(), query, token.or(bearer));
+                handle_call(slot, patience, head, length, body, tx).await
+            },
+        );
+    let connections = Arc::new(Semaphore::new(connections));
+    accept(listener, connections, TowerToHyperService::new(warp::service(filter))).await;
+}
+
+/// Serves what connects, as many at a time as there are permits.
+async fn accept<S, B>(listener: TcpListener, connections: Arc<Semaphore>, service: S)
+where
+    S: hyper::service::Service<http::Request<hyper::body::Incoming>, Response = http::Response<B>>,
+    S: Clone + Send + 'static,
+    S::Future: Send + 'static,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: hyper::body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     loop {
         let Ok(permit) = connections.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
@@ -222,6 +303,46 @@
     }
 }
 
+async fn handle_call(
+    slot: usize,
+    patience: Duration,
+    (method, path, query, token): (http::Method, String, String, Option<String>),
+    length: Option<u64>,
+    body: impl Stream<Item = Result<impl Buf, warp::Error>>,
+    tx: mpsc::Sender<Message>,
+) -> http::Response<String> {
+    let body = match read_body(length, body).await {
+        Ok(body) => body,
+        Err((status, why)) => return respond(Reply::error(status, None, why), true),
+    };
+    let verb = match method {
+        http::Method::GET => Verb::Get,
+        http::Method::POST => Verb::Post,
+        http::Method::PUT => Verb::Put,
+        http::Method::DELETE => Verb::Delete,
+        _ => Verb::Other,
+    };
+    let call = Call { verb, path, query, token, body };
+    let (reply, answer) = oneshot::channel();
+    ask(tx, Message::Call { slot, call, reply }, answer, patience).await
+}
+
+/// Puts a request to the core and waits for its answer.
+async fn ask(
+    tx: mpsc::Sender<Message>,
+    message: Message,
+    answer: oneshot::Receiver<Reply>,
+    patience: Duration,
+) -> http::Response<String> {
+    if tx.try_send(message).is_err() {
+        return respond(Reply::error(503, Some(1), "too many requests wait here; come back"), false);
+    }
+    match timeout(patience, answer).await {
+        Ok(Ok(reply)) => respond(reply, false),
+        _ => respond(Reply::error(503, Some(1), "no answer in time; come back"), false),
+    }
+}
+
 async fn handle(
     method: http::Method,
     path: String,
@@ -231,11 +352,7 @@
 ) -> http::Response<String> {
     let body = match read_body(length, body).await {
         Ok(body) => body,
-        Err((status, why)) => {
-            let reply =
-                Reply { status, retry_after_s: None, body: pearford_scheduler::wire::users::error(why) };
-            return respond(reply, true);
-        }
+        Err((status, why)) => return respond(Reply::error(status, None, why), true),
     };
     let method = match method {
         http::Method::GET => Method::Get,
@@ -243,18 +360,7 @@
         _ => Method::Other,
     };
     let (reply, answer) = oneshot::channel();
-    let busy = |why| Reply {
-        status: 503,
-        retry_after_s: Some(1),
-        body: pearford_scheduler::wire::users::error(why),
-    };
-    if tx.try_send(Message::Http { method, path, body, reply }).is_err() {
-        return respond(busy("too many requests wait here; come back"), false);
-    }
-    match timeout(ANSWER_PATIENCE, answer).await {
-        Ok(Ok(reply)) => respond(reply, false),
-        _ => respond(busy("no answer in time; come back"), false),
-    }
+    ask(tx, Message::Http { method, path, body, reply }, answer, ANSWER_PATIENCE).await
 }
 
 async fn read_body(
@@ -291,6 +397,11 @@
         http::StatusCode::from_u16(reply.status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    for (name, value) in reply.headers {
+        if let Ok(value) = http::HeaderValue::try_from(value) {
+            headers.insert(name, value);
+        }
+    }
     if let Some(s) = reply.retry_after_s {
         headers.insert(http::header::RETRY_AFTER, http::HeaderValue::from(s));
     }
--- /dev/null
+++ b/crates/scheduler/src/feature/mod.rs
@@ -0,0 +1,142 @@
+//! The seam for features: state machines beside the core, each with its own keys in the state service,
+//! its own requests, and a part of the node's budgets. What a feature may see of the node is a `View`;
+//! what it wants done it returns. A node without features pays nothing for the seam.
+
+mod records;
+
+pub use records::Records;
+
+use crate::jobs::{Admission, Mirror};
+use crate::settings::Settings;
+use crate::types::{Fence, JobId, NodeName, OpId, Room, TeamName, Time, Wall};
+use crate::wire::state::Change;
+
+/// What a node and a feature have in common for a step.
+pub struct View<'a> {
+    pub now: Time,
+    pub wall: Wall,
+    pub node: &'a NodeName,
+    pub settings: &'a Settings,
+    /// The copy of the job records.
+    pub jobs: &'a Mirror,
+    /// The copy of the feature's own records.
+    pub records: &'a Records,
+    /// This node validly leads, by this fence.
+    pub leads: Option<Fence>,
+    /// What a submission is checked by, whichever door it comes through.
+    pub admission: Admission<'a>,
+    pub(crate) standing: &'a dyn Fn(&JobId) -> Option<(u32, u32)>,
+    pub(crate) waiting: &'a dyn Fn(&JobId) -> Option<u32>,
+    pub(crate) room_left: &'a dyn Fn(&TeamName) -> Option<Room>,
+}
+
+impl View<'_> {
+    /// (done, running) tasks of a job, as far as this node knows.
+    pub fn standing(&self, id: &JobId) -> Option<(u32, u32)> {
+        (self.standing)(id)
+    }
+
+    /// How many tasks of an open job have no machine yet; the leader knows.
+    pub fn waiting(&self, id: &JobId) -> Option<u32> {
+        (self.waiting)(id)
+    }
+
+    /// What the team may still take; the leader knows.
+    pub fn room_left(&self, team: &TeamName) -> Option<Room> {
+        (self.room_left)(team)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verb {
+    Get,
+    Post,
+    Put,
+    Delete,
+    Other,
+}
+
+/// A request to a feature's own listener.
+#[derive(Debug, Clone)]
+pub struct Call {
+    pub verb: Verb,
+    /// As it came, still escaped.
+    pub path: String,
+    pub query: String,
+    /// Of the client, if it sent one.
+    pub token: Option<String>,
+    pub body: Vec<u8>,
+}
+
+/// What happens to a feature.
+#[derive(Debug)]
+pub enum Input<'a> {
+    Tick,
+    Call {
+        request: OpId,
+        call: Call,
+    },
+    /// Own records changed, here or at another node.
+    Records(&'a [String]),
+    /// Job records changed.
+    Jobs(&'a [JobId]),
+    /// What became of a commit.
+    Committed {
+        tag: u64,
+        outcome: Outcome,
+    },
+    /// A read that it asked for is over; whether both copies are as of when it asked, or newer.
+    Read {
+        tag: u64,
+        fresh: bool,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    Done {
+        epoch: u64,
+    },
+    /// These keys are no longer as the conditions have them.
+    Conflict(Vec<String>),
+    /// Refused, as it would be at every further try.
+    Malformed,
+    /// Not executed, or nobody knows.
+    Unknown,
+    /// Not sent: the budget is spent.
+    NoBudget,
+}
+
+/// Whose budget a commit takes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Share {
+    /// The users', as submissions do.
+    Users,
+    /// What the leader has to spare; conditional on its fence.
+    Upkeep,
+}
+
+/// What a feature does.
+#[derive(Debug)]
+pub enum Action {
+    Answer {
+        request: OpId,
+        status: u16,
+        retry_after_s: Option<u32>,
+        headers: Vec<(&'static str, String)>,
+        body: String,
+    },
+    /// One transaction over own keys and job records.
+    Commit { tag: u64, share: Share, conditions: Vec<(String, crate::types::Stamp)>, changes: Vec<Change> },
+    /// A read of the job records and its own, begun from now on.
+    Read { tag: u64 },
+}
+
+pub trait Feature: Send {
+    /// Prefix of its keys; nobody else has keys under it.
+    fn prefix(&self) -> &'static str;
+
+    fn step(&mut self, view: &View<'_>, input: Input<'_>) -> Vec<Action>;
+
+    fn metrics(&self, lines: &mut Vec<String>);
+}
--- a/crates/scheduler/src/jobs/mod.rs
+++ b/crates/scheduler/src/jobs/mod.rs
@@ -1,9 +1,11 @@
 //! Jobs: what users asked for, the durable record of each, and every node's mirror of them.
 
+mod admission;
 mod desk;
 pub mod graph;
 mod run;
 
+pub use admission::Admission;
 pub use desk::{Ask, Desk, Refusal, Waiting};
 pub use run::{Bits, CHUNK, Run};
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod blocks;
 pub mod compat;
+pub mod feature;
 pub mod fleet;
 pub mod gangs;
 pub mod jobs;
--- /dev/null
+++ b/crates/scheduler/src/node/core/features.rs
@@ -0,0 +1,235 @@
+//! Features in their slots: what happens is handed to them, and what they want is done.
+
+use super::{Core, read_pause};
+use crate::feature::{Action, Call, Feature, Input, Outcome, Records, Share, View};
+use crate::jobs;
+use crate::leader;
+use crate::node::Effect;
+use crate::node::follower::Follower;
+use crate::node::outbox::{Pending, Read, Whose};
+use crate::types::{JobId, OpId, Span, Stamp, Time};
+use crate::wire::state::{Change, StateReply, StateRequest};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// How long a feature waits for a read that it asked for.
+const READ_PATIENCE: Span = Span::ms(1500);
+
+pub(super) struct Slot {
+    /// Out of its place while it takes a step.
+    feature: Option<Box<dyn Feature>>,
+    records: Records,
+    follower: Follower,
+    reads: Vec<Asked>,
+    /// Of its own, so that the core's draws are the same with and without it.
+    rng: StdRng,
+}
+
+/// A read asked for, and how many had begun by then.
+struct Asked {
+    tag: u64,
+    at: Time,
+    own: u64,
+    jobs: u64,
+}
+
+/// What is to be handed to a feature.
+enum Event {
+    Tick,
+    Call { request: OpId, call: Call },
+    Records(Vec<String>),
+    Committed { tag: u64, outcome: Outcome },
+    Read { tag: u64, fresh: bool },
+}
+
+impl Core {
+    /// Adds a feature. Its slot is the number of those added before.
+    pub fn with_feature(mut self, feature: Box<dyn Feature>) -> Self {
+        let whose = Whose::Feature(self.features.len());
+        let follower = Follower::new(whose, feature.prefix(), read_pause(&self.settings));
+        let rng = StdRng::seed_from_u64(self.features.len() as u64);
+        let (records, reads) = (Records::default(), Vec::new());
+        self.features.push(Slot { feature: Some(feature), records, follower, reads, rng });
+        self
+    }
+
+    pub(super) fn call(&mut self, slot: usize, request: OpId, call: Call) {
+        if slot >= self.features.len() {
+            return self.out.refuse(request, 404, "no such path");
+        }
+        self.hand(slot, Event::Call { request, call });
+    }
+
+    pub(super) fn features_tick(&mut self) {
+        let now = self.now;
+        for slot in 0..self.features.len() {
+            let overdue = self.features[slot].reads.extract_if(.., |a| now.since(a.at) >= READ_PATIENCE);
+            for tag in overdue.map(|a| a.tag).collect::<Vec<_>>() {
+                self.hand(slot, Event::Read { tag, fresh: false });
+            }
+            self.hand(slot, Event::Tick);
+        }
+    }
+
+    pub(super) fn features_learn_jobs(&mut self, changed: &[JobId]) {
+        for slot in 0..self.features.len() {
+            let actions = self.step_feature(slot, Input::Jobs(changed));
+            self.act(slot, actions);
+        }
+    }
+
+    pub(super) fn features_want_read(&self) -> bool {
+        // Of the two reads that each needs one may be over before the other.
+        self.features.iter().flat_map(|s| &s.reads).any(|a| self.follower.is_past(a.jobs).is_none())
+    }
+
+    /// Reads their records, and tells them of reads that are over.
+    pub(super) fn features_pump(&mut self) {
+        for slot in 0..self.features.len() {
+            let s = &mut self.features[slot];
+            let wanted = s.reads.iter().any(|a| s.follower.is_past(a.own).is_none());
+            s.follower.pump(self.now, s.records.epoch(), wanted, &mut self.out);
+            let changed = s.records.take_changed();
+            if !changed.is_empty() {
+                self.hand(slot, Event::Records(changed));
+            }
+            let (s, jobs) = (&mut self.features[slot], &self.follower);
+            let mut over = Vec::new();
+            s.reads.retain(|a| match (s.follower.is_past(a.own), jobs.is_past(a.jobs)) {
+                (Some(true), Some(true)) => {
+                    over.push((a.tag, true));
+                    false
+                }
+                (Some(false), _) | (_, Some(false)) => {
+                    over.push((a.tag, false));
+                    false
+                }
+                _ => true,
+            });
+            for (tag, fresh) in over {
+                self.hand(slot, Event::Read { tag, fresh });
+            }
+        }
+    }
+
+    pub(super) fn feature_read(&mut self, slot: usize, read: Read, reply: StateReply) {
+        let Some(s) = self.features.get_mut(slot) else { return };
+        s.follower.reply(self.now, read, reply, &mut s.records, &mut s.rng, &mut self.out);
+    }
+
+    pub(super) fn feature_committed(
+        &mut self,
+        slot: usize,
+        tag: u64,
+        changes: Vec<Change>,
+        reply: StateReply,
+    ) {
+        let outcome = match reply {
+            StateReply::Committed { epoch } => {
+                // Known here at once, not only when the watch brings it.
+                for change in &changes {
+                    self.learn_change(slot, epoch, change);
+                }
+                Outcome::Done { epoch }
+            }
+            StateReply::Conflict { failed } => Outcome::Conflict(failed),
+            StateReply::Malformed => Outcome::Malformed,
+            _ => Outcome::Unknown,
+        };
+        self.hand(slot, Event::Committed { tag, outcome });
+    }
+
+    fn learn_change(&mut self, slot: usize, epoch: u64, change: &Change) {
+        match change {
+            Change::Put { key, value, .. } => match key.strip_prefix(jobs::PREFIX) {
+                Some(id) => match serde_json::from_str(value) {
+                    Ok(record) => self.mirror.learn(JobId::from(id), Stamp(epoch), record),
+                    Err(error) => tracing::error!(key, %error, "a job record written here can't be read"),
+                },
+                None => self.features[slot].records.learn(key, Stamp(epoch), value),
+            },
+            Change::Delete { key } => self.features[slot].records.learn_removed(key, Stamp(epoch)),
+        }
+    }
+
+    fn hand(&mut self, slot: usize, event: Event) {
+        let actions = match event {
+            Event::Tick => self.step_feature(slot, Input::Tick),
+            Event::Call { request, call } => self.step_feature(slot, Input::Call { request, call }),
+            Event::Records(keys) => self.step_feature(slot, Input::Records(&keys)),
+            Event::Committed { tag, outcome } => self.step_feature(slot, Input::Committed { tag, outcome }),
+            Event::Read { tag, fresh } => self.step_feature(slot, Input::Read { tag, fresh }),
+        };
+        self.act(slot, actions);
+    }
+
+    fn step_feature(&mut self, slot: usize, input: Input<'_>) -> Vec<Action> {
+        let Some(mut feature) = self.features[slot].feature.take() else { return Vec::new() };
+        let fence = self.seat.valid(self.now).then(|| self.seat.fence());
+        let (master, standings) = (&self.master, &self.standings);
+        let view = View {
+            now: self.now,
+            wall: self.wall,
+            node: &self.settings.node,
+            settings: &self.settings,
+            jobs: &self.mirror,
+            records: &self.features[slot].records,
+            leads: fence.filter(|_| master.is_some()),
+            admission: self.admission(),
+            standing: &|id| match master {
+                Some(master) => master.standing_of(id),
+                None => standings.get(id).copied(),
+            },
+            waiting: &|id| master.as_ref().and_then(|m| m.waiting_of(id)),
+            room_left: &|team| master.as_ref().and_then(|m| m.room_left(team)),
+        };
+        let actions = feature.step(&view, input);
+        self.features[slot].feature = Some(feature);
+        actions
+    }
+
+    fn act(&mut self, slot: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Answer { request, status, retry_after_s, headers, body } => {
+                    self.out.push(Effect::Answer { request, status, retry_after_s, headers, body });
+                }
+                Action::Read { tag } => {
+                    let (own, jobs) = (self.features[slot].follower.begun(), self.follower.begun());
+                    self.features[slot].reads.push(Asked { tag, at: self.now, own, jobs });
+                }
+                Action::Commit { tag, share, conditions, changes } => {
+                    self.commit_for(slot, tag, share, conditions, changes);
+                }
+            }
+        }
+    }
+
+    fn commit_for(
+        &mut self,
+        slot: usize,
+        tag: u64,
+        share: Share,
+        mut conditions: Vec<(String, Stamp)>,
+        changes: Vec<Change>,
+    ) {
+        let paid = match share {
+            Share::Users => self.user_writes.take(changes.len() as f64, self.now),
+            Share::Upkeep => {
+                let valid = self.seat.valid(self.now);
+                conditions.push((leader::KEY.into(), Stamp(self.seat.fence().0)));
+                let now = self.now;
+                valid && self.master.as_mut().is_some_and(|m| m.spare_writes(changes.len(), now))
+            }
+        };
+        if !paid {
+            return self.hand(slot, Event::Committed { tag, outcome: Outcome::NoBudget });
+        }
+        let request = StateRequest::Commit { conditions, changes: changes.clone() };
+        self.out.ask_state(request, Pending::Feature { slot, tag, changes });
+    }
+
+    pub(super) fn features_metrics(&self, lines: &mut Vec<String>) {
+        self.features.iter().filter_map(|s| s.feature.as_ref()).for_each(|f| f.metrics(lines));
+    }
+}
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -1,12 +1,13 @@
 //! What every node does: follows the job records, runs for the lead, tells its peers; and hands each
 //! input to the part whose duty it is.
 
+mod features;
 mod users;
 
 use super::catalogue::Catalogue;
 use super::follower::{Follower, Turn as ReadTurn};
 use super::master::{Ctx, Leave, Master};
-use super::outbox::{LeaderOp, Outbox, Pending};
+use super::outbox::{LeaderOp, Outbox, Pending, Whose};
 use super::peers::Peers;
 use super::{Effect, Input, Method, Now};
 use crate::blocks::{Envelope, PeerMessage};
@@ -20,6 +21,7 @@
 use crate::wire::cloud::CloudReply;
 use crate::wire::state::{Change, StateReply, StateRequest};
 use crate::wire::workers::{self, Report};
+use features::Slot;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -59,6 +61,7 @@
     user_writes: Budget,
     levels: Levels,
     master: Option<Master>,
+    features: Vec<Slot>,
     started: bool,
     #[cfg(any(test, feature = "world"))]
     old: bool,
@@ -73,14 +76,13 @@
         // jobs of a pipeline come over one connection, and all nodes seldom have bursts together.
         let user_rate = (settings.state.write_rps * o.user_write_share).max(1.0);
         let user_writes = Budget::bursting((user_rate / nodes).max(1.0), user_rate);
-        let read_pause = Span::secs(2.0 * nodes / settings.state.rps);
         Self {
             rng: StdRng::seed_from_u64(seed),
             now: Time::default(),
             wall: Wall(0),
             out: Outbox::new(settings.node.clone()),
             mirror: Mirror::default(),
-            follower: Follower::new(jobs::PREFIX, read_pause, Pending::Jobs),
+            follower: Follower::new(Whose::Jobs, jobs::PREFIX, read_pause(&settings)),
             desk: Desk::default(),
             seat,
             state_ok_at: Time::default(),
@@ -97,6 +99,7 @@
             user_writes,
             levels: Levels::new(settings.node.clone(), settings.peers.iter().map(|p| p.name.clone())),
             master: None,
+            features: Vec::new(),
             started: false,
             #[cfg(any(test, feature = "world"))]
             old: false,
@@ -112,6 +115,8 @@
             self.started = true;
             tracing::info!(node = %self.settings.node, "started");
         }
+        // What only brings a feature's records up to date leaves the rest of the node as it was.
+        let aside = matches!(&input, Input::State { op, .. } if self.out.is_aside(*op));
         match input {
             Input::Tick => self.tick(),
             Input::Http { request, method, path, body } => self.http(request, method, &path, body),
@@ -119,6 +124,7 @@
             Input::Cloud { op, reply } => self.cloud(op, reply),
             Input::Worker { op, status, body } => self.worker(op, status, &body),
             Input::Peer(envelope) => self.peer(envelope),
+            Input::Call { slot, request, call } => self.call(slot, request, call),
         }
         let changed = self.mirror.take_changed();
         if !changed.is_empty() {
@@ -127,11 +133,16 @@
                     self.standings.remove(id);
                 }
             }
+            self.features_learn_jobs(&changed);
             if let Some((master, ctx)) = self.leading() {
                 master.jobs_changed(&ctx, changed);
             }
         }
-        self.pump();
+        if aside {
+            self.features_pump();
+        } else {
+            self.pump();
+        }
         self.out.take()
     }
 
@@ -188,6 +199,7 @@
             self.out.ask_state(request, Pending::Counts);
         }
         self.levels_tick();
+        self.features_tick();
         let leave = self.leading().and_then(|(master, mut ctx)| master.tick(&mut ctx));
         self.leave(leave);
     }
@@ -212,10 +224,11 @@
     fn pump(&mut self) {
         let fresh_at = self.follower.fresh_at();
         let stocking = self.master.as_ref().is_some_and(|m| m.wants_jobs(fresh_at));
-        let wanted = self.desk.wants_read() || stocking;
+        let wanted = self.desk.wants_read() || stocking || self.features_want_read();
         if self.follower.pump(self.now, self.mirror.epoch(), wanted, &mut self.out) {
             self.desk.read_begins();
         }
+        self.features_pump();
         if let Some((master, mut ctx)) = self.leading() {
             master.pump(&mut ctx);
         }
@@ -297,7 +310,7 @@
 
     fn state(&mut self, op: OpId, reply: StateReply) {
         let answered = !matches!(reply, StateReply::Refused | StateReply::Unknown);
-        if answered {
+        if answered && !self.out.is_aside(op) {
             self.state_ok_at = self.now;
         }
         if self.seat.owns(op) {
@@ -314,7 +327,11 @@
         }
         match self.out.answered(op) {
             None => {}
-            Some(Pending::Jobs(read)) => {
+            Some(Pending::Follow(Whose::Feature(slot), read)) => self.feature_read(slot, read, reply),
+            Some(Pending::Feature { slot, tag, changes }) => {
+                self.feature_committed(slot, tag, changes, reply)
+            }
+            Some(Pending::Follow(Whose::Jobs, read)) => {
                 let turn = self.follower.reply(
                     self.now,
                     read,
@@ -500,6 +517,7 @@
         if let Some(master) = &self.master {
             master.metrics(&mut lines);
         }
+        self.features_metrics(&mut lines);
         lines.join("\n") + "\n"
     }
 
@@ -531,6 +549,13 @@
     }
 }
 
+/// Least time between reads for users. All requests that wait share one; reads of all nodes together stay
+/// within half of the service's rate, or a rush of users would starve the leader's grant.
+fn read_pause(settings: &Settings) -> Span {
+    let nodes = (settings.peers.len() + 1) as f64;
+    Span::secs(2.0 * nodes / settings.state.rps)
+}
+
 /// The version before dependencies, for days on which both serve.
 #[cfg(any(test, feature = "world"))]
 impl Core {
--- a/crates/scheduler/src/node/core/users.rs
+++ b/crates/scheduler/src/node/core/users.rs
@@ -6,7 +6,7 @@
 use super::super::outbox::Pending;
 use super::Core;
 use crate::compat;
-use crate::jobs::{self, Ask, JobSpec, Never, OpenJob, Phase, Record, Shape, Waiting};
+use crate::jobs::{self, Admission, Ask, OpenJob, Phase, Record, Waiting};
 use crate::types::{JobId, OpId, Stamp};
 use crate::wire::state::{Change, StateReply, StateRequest};
 use crate::wire::users;
@@ -43,43 +43,19 @@
         });
         let spec = match read {
             Err(why) => Err(jobs::Refusal { status: 400, why }),
-            Ok((_, spec)) if self.catalogue.types().is_empty() => {
-                // Undecidable yet, unless the team alone decides it.
-                match spec.can_run(&self.settings, &[]) {
-                    Err(never @ Never::UnknownTeam(_)) => Err(never.into()),
-                    _ => Err(jobs::Refusal { status: 503, why: "machine types are not known yet".into() }),
-                }
-            }
-            Ok((_, spec)) => match spec.can_run(&self.settings, self.catalogue.types()) {
-                Ok(()) => self.storable(&spec).map(|()| Box::new(spec)),
-                Err(never) => Err(never.into()),
-            },
+            Ok((_, spec)) => self.admission().check(&spec).map(|()| Box::new(spec)),
         };
         self.look_up(request, id, Ask::Submit { spec });
     }
 
-    /// A job that needs others is stored only once every node is known to understand that, and any
-    /// job only if its record fits: a larger one would be refused at every try.
-    fn storable(&self, spec: &JobSpec) -> Result<(), jobs::Refusal> {
-        if !spec.needs.is_empty() && self.levels.reached() < compat::DEPENDENCIES {
-            let why = "jobs with `awaits` are taken once every controller has the new version; come back";
-            return Err(jobs::Refusal { status: 503, why: why.into() });
+    pub(super) fn admission(&self) -> Admission<'_> {
+        Admission {
+            settings: &self.settings,
+            types: self.catalogue.types(),
+            dependencies: self.levels.reached() >= compat::DEPENDENCIES,
+            jobs: &self.mirror,
+            wall: self.wall,
         }
-        let job = OpenJob { spec: spec.clone(), submitted: self.wall, home: self.settings.node.clone() };
-        let (bytes, limit) = (Record::Open(Arc::new(job)).to_value().len(), self.settings.state.value_bytes);
-        if bytes > limit { Err(Never::TooLarge { bytes, limit }.into()) } else { Ok(()) }
-    }
-
-    /// Why the job can't wait for those that it names, as far as this node knows.
-    fn needs_fault(&self, id: &JobId, spec: &JobSpec) -> Option<Never> {
-        spec.needs.iter().find_map(|need| match self.mirror.get(need) {
-            _ if need == id => Some(Never::NeedsItself),
-            None => Some(Never::NeedsUnknown(need.clone())),
-            Some(known) => {
-                let service = known.record.open().is_some_and(|j| j.spec.shape == Shape::Service);
-                service.then(|| Never::NeedsService(need.clone()))
-            }
-        })
     }
 
     /// Starts on a request about job `id`.
@@ -98,7 +74,9 @@
         match &waiting.ask {
             // Setting the key if absent decides by itself; no read is needed before. A name that this
             // node doesn't know may have been accepted by another one a moment ago.
-            Ask::Submit { spec: Ok(spec) } if !known && self.needs_fault(&waiting.id, spec).is_none() => {
+            Ask::Submit { spec: Ok(spec) }
+                if !known && self.admission().needs_fault(&waiting.id, spec).is_none() =>
+            {
                 self.create(waiting);
             }
             Ask::Withdraw if known => self.withdraw(waiting),
@@ -111,11 +89,7 @@
         if !self.user_writes.take(1.0, self.now) {
             return self.out.refuse(waiting.request, 429, "too many submissions at once; come back");
         }
-        let job = Arc::new(OpenJob {
-            spec: (**spec).clone(),
-            submitted: self.wall,
-            home: self.settings.node.clone(),
-        });
+        let job = self.admission().open(spec);
         let key = jobs::key(&waiting.id);
         let value = Record::Open(job.clone()).to_value();
         let request = StateRequest::Commit {
@@ -159,7 +133,7 @@
                 let phase = if running { Phase::Running } else { Phase::Pending };
                 self.out.answer(request, 200, users::status(&id, phase, Some(counts.unwrap_or((0, 0)))));
             }
-            (None, Ask::Submit { spec: Ok(spec) }) => match self.needs_fault(&id, spec) {
+            (None, Ask::Submit { spec: Ok(spec) }) => match self.admission().needs_fault(&id, spec) {
                 Some(never) => self.out.refuse(request, 422, &never.to_string()),
                 None => self.create(waiting),
             },
--- a/crates/scheduler/src/node/follower.rs
+++ b/crates/scheduler/src/node/follower.rs
@@ -1,7 +1,8 @@
 //! Keeps a copy of all keys under one prefix up to date: reads them once, then watches; a watch
 //! that returns at once brings the copy up to date for everything asked before it.
 
-use super::outbox::{Outbox, Pending, Read};
+use super::outbox::{Outbox, Pending, Read, Whose};
+use crate::feature::Records;
 use crate::jobs::Mirror;
 use crate::types::{Span, Time};
 use crate::wire::state::{Event, Pair, StateReply, StateRequest};
@@ -34,7 +35,7 @@
 #[derive(Debug)]
 pub(super) struct Follower {
     prefix: &'static str,
-    pending: fn(Read) -> Pending,
+    whose: Whose,
     /// Least time between reads that return at once. All requests that wait share one; reads of all
     /// nodes together stay within half of the service's rate, or a rush of users would starve the
     /// leader's grant.
@@ -46,14 +47,22 @@
     next_sync: Time,
     /// Start of the newest read after which the copy was up to date.
     fresh_at: Time,
+    /// Reads begun, and the number of the newest after which the copy was up to date.
+    begun: u64,
+    up_to: u64,
+    /// Number of the newest that came to nothing.
+    failed: u64,
 }
 
 impl Follower {
-    pub fn new(prefix: &'static str, pause: Span, pending: fn(Read) -> Pending) -> Self {
+    pub fn new(whose: Whose, prefix: &'static str, pause: Span) -> Self {
         Self {
             prefix,
-            pending,
+            whose,
             pause,
+            begun: 0,
+            up_to: 0,
+            failed: 0,
             listing: false,
             watching: false,
             syncing: false,
@@ -67,6 +76,21 @@
         self.fresh_at
     }
 
+    /// Reads begun so far: a later one sees all that has happened by now.
+    pub fn begun(&self) -> u64 {
+        self.begun
+    }
+
+    /// Whether a read begun after `begun` were is over, and if so whether it has brought the copy up to
+    /// date: whoever waits for one that has failed is told at once.
+    pub fn is_past(&self, begun: u64) -> Option<bool> {
+        match (self.up_to > begun, self.failed > begun) {
+            (true, _) => Some(true),
+            (false, true) => Some(false),
+            (false, false) => None,
+        }
+    }
+
     /// Sends what is due; whether a read began that answers all that was asked so far. `wanted`:
     /// something waits for one.
     pub fn pump(&mut self, now: Time, epoch: Option<u64>, wanted: bool, out: &mut Outbox) -> bool {
@@ -82,10 +106,11 @@
         }
         // A node without requests must still learn whether it reaches the state service, or it
         // would call itself unfit, get no requests, and never find out.
-        let stale = now.since(self.fresh_at) >= FRESHEN_EVERY;
+        let stale = self.whose == Whose::Jobs && now.since(self.fresh_at) >= FRESHEN_EVERY;
         let begins = !self.syncing && now >= self.next_sync && (wanted || stale);
         if begins {
             self.syncing = true;
+            self.begun += 1;
             self.next_sync = now + self.pause;
             self.watch(from, Span::ms(0), Read::Sync { began: now }, out);
         }
@@ -94,13 +119,13 @@
 
     fn watch(&self, from: u64, block: Span, read: Read, out: &mut Outbox) {
         let request = StateRequest::Watch { prefix: self.prefix, from, block_ms: block.0 };
-        out.ask_state(request, (self.pending)(read));
+        out.ask_state(request, Pending::Follow(self.whose, read));
     }
 
     fn page(&mut self, after: Option<String>, first_epoch: Option<u64>, out: &mut Outbox) {
         self.listing = true;
         let request = StateRequest::Range { prefix: self.prefix, after, most: PAGE };
-        out.ask_state(request, (self.pending)(Read::Page { first_epoch }));
+        out.ask_state(request, Pending::Follow(self.whose, Read::Page { first_epoch }));
     }
 
     pub fn reply(
@@ -139,10 +164,12 @@
                 self.syncing = false;
                 replica.learn_events(epoch, &events);
                 self.fresh_at = self.fresh_at.max(began);
+                self.up_to = self.begun;
                 return Turn::ReadEnds(true);
             }
             (Read::Sync { .. }, reply) => {
                 self.syncing = false;
+                self.failed = self.begun;
                 if reply == StateReply::TooOld {
                     replica.forget_epoch();
                 }
@@ -168,3 +195,18 @@
         Mirror::learn_events(self, epoch, events);
     }
 }
+
+impl Replica for Records {
+    fn reach(&mut self, epoch: u64) {
+        Records::reach(self, epoch);
+    }
+    fn forget_epoch(&mut self) {
+        Records::forget_epoch(self);
+    }
+    fn learn_pair(&mut self, pair: &Pair) {
+        self.learn(&pair.key, pair.stamp, &pair.value);
+    }
+    fn learn_events(&mut self, epoch: u64, events: &[Event]) {
+        Records::learn_events(self, epoch, events);
+    }
+}
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -455,6 +455,28 @@
         self.commit(ctx);
     }
 
+    /// How many tasks of a job have no machine yet.
+    pub(super) fn waiting_of(&self, id: &JobId) -> Option<u32> {
+        self.runs.get(id).map(Run::waiting_count)
+    }
+
+    /// What `team` may still take.
+    pub(super) fn room_left(&self, team: &TeamName) -> Option<Room> {
+        let limits = self.settings.teams.get(team)?;
+        let used = self.used.get(team).copied().unwrap_or_default();
+        let left = |max: Option<f64>, used: f64| max.map_or(f64::MAX, |max| (max - used).max(0.0));
+        Some(Room {
+            cpus: left(limits.max_cpus, used.cpus),
+            gpus: left(limits.max_gpus, used.gpus),
+            memory_gb: f64::MAX,
+        })
+    }
+
+    /// Takes `n` changes from what is to spare: nothing while more urgent ones wait.
+    pub(super) fn spare_writes(&mut self, n: usize, now: Time) -> bool {
+        self.writes.ample(now) && self.writes.take(n as f64, now)
+    }
+
     // ---- for operators ----
 
     pub(super) fn metrics(&self, lines: &mut Vec<String>) {
--- a/crates/scheduler/src/node/mod.rs
+++ b/crates/scheduler/src/node/mod.rs
@@ -10,6 +10,7 @@
 pub use self::core::Core;
 
 use crate::blocks::Envelope;
+use crate::feature::Call;
 use crate::types::{NodeName, OpId, Span, Time, Wall};
 use crate::wire::cloud::{CloudReply, CloudRequest};
 use crate::wire::state::{StateReply, StateRequest};
@@ -53,14 +54,43 @@
         body: Vec<u8>,
     },
     Peer(Envelope),
+    /// A request to the listener of the feature in `slot`.
+    Call {
+        slot: usize,
+        request: OpId,
+        call: Call,
+    },
 }
 
 /// What a node does.
 #[derive(Debug)]
 pub enum Effect {
-    Answer { request: OpId, status: u16, retry_after_s: Option<u32>, body: String },
-    State { op: OpId, request: StateRequest, patience: Span },
-    Cloud { op: OpId, request: CloudRequest, patience: Span },
-    Worker { op: OpId, addr: String, body: String, patience: Span },
-    Peer { to: NodeName, bytes: Vec<u8> },
+    Answer {
+        request: OpId,
+        status: u16,
+        retry_after_s: Option<u32>,
+        /// Besides the usual ones; only features have any.
+        headers: Vec<(&'static str, String)>,
+        body: String,
+    },
+    State {
+        op: OpId,
+        request: StateRequest,
+        patience: Span,
+    },
+    Cloud {
+        op: OpId,
+        request: CloudRequest,
+        patience: Span,
+    },
+    Worker {
+        op: OpId,
+        addr: String,
+        body: String,
+        patience: Span,
+    },
+    Peer {
+        to: NodeName,
+        bytes: Vec<u8>,
+    },
 }
--- a/crates/scheduler/src/node/outbox.rs
+++ b/crates/scheduler/src/node/outbox.rs
@@ -5,7 +5,7 @@
 use crate::jobs::{OpenJob, Waiting};
 use crate::types::{Fence, NodeName, OpId, Span, Time};
 use crate::wire::cloud::CloudRequest;
-use crate::wire::state::StateRequest;
+use crate::wire::state::{Change, StateRequest};
 use crate::wire::users;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -19,8 +19,8 @@
 /// What an outstanding request to the state service is for.
 #[derive(Debug)]
 pub(super) enum Pending {
-    /// Keeping the copy of the job records up to date.
-    Jobs(Read),
+    /// Keeping a copy of records up to date.
+    Follow(Whose, Read),
     Create {
         waiting: Waiting,
         job: Arc<OpenJob>,
@@ -30,10 +30,23 @@
     },
     Counts,
     Levels,
+    /// A feature's commit.
+    Feature {
+        slot: usize,
+        tag: u64,
+        changes: Vec<Change>,
+    },
     /// The leader's own, void when its fence has passed.
     Leader(Fence, LeaderOp),
 }
 
+/// Whose records a copy is of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Whose {
+    Jobs,
+    Feature(usize),
+}
+
 /// A read that follows a prefix.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Read {
@@ -99,6 +112,11 @@
         self.pending.remove(&op)
     }
 
+    /// Whether it only follows a feature's records.
+    pub fn is_aside(&self, op: OpId) -> bool {
+        matches!(self.pending.get(&op), Some(Pending::Follow(Whose::Feature(_), _)))
+    }
+
     pub fn waits_for(&self, what: impl Fn(&Pending) -> bool) -> bool {
         self.pending.values().any(what)
     }
@@ -127,7 +145,11 @@
 
     pub fn answer(&mut self, request: OpId, status: u16, body: String) {
         let retry_after_s = matches!(status, 429 | 503).then_some(1);
-        self.effects.push(Effect::Answer { request, status, retry_after_s, body });
+        self.effects.push(Effect::Answer { request, status, retry_after_s, headers: Vec::new(), body });
+    }
+
+    pub fn push(&mut self, effect: Effect) {
+        self.effects.push(effect);
     }
 
     pub fn refuse(&mut self, request: OpId, status: u16, why: &str) {
--- a/crates/scheduler/src/settings/mod.rs
+++ b/crates/scheduler/src/settings/mod.rs
@@ -8,7 +8,6 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
 
 /// What is wrong with one key.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
@@ -316,26 +315,7 @@
     }
 }
 
-/// Reads and checks both files; the error lists every fault found.
-pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, Vec<Fault>> {
-    let read = |path: &Path| {
-        std::fs::read_to_string(path).map_err(|e| {
-            vec![Fault {
-                file: path.display().to_string(),
-                key: "(file)".into(),
-                what: format!("can't be read: {e}"),
-            }]
-        })
-    };
-    let platform_text = read(platform)?;
-    let operator_text = operator.map(read).transpose()?;
-    parse(
-        (&platform.display().to_string(), &platform_text),
-        operator.zip(operator_text.as_deref()).map(|(p, t)| (p.display().to_string(), t)),
-    )
-}
-
-/// As `load`, from texts with the names to use in faults.
+/// Reads and checks both files' texts, with the names to use in faults; the error lists every fault found.
 pub fn parse((file, text): (&str, &str), operator: Option<(String, &str)>) -> Result<Settings, Vec<Fault>> {
     let raw: PlatformFile = toml::from_str(text).map_err(|e| {
         vec![Fault { file: file.into(), key: toml_key(&e, text), what: e.message().to_string() }]
--- a/crates/scheduler/src/world/mod.rs
+++ b/crates/scheduler/src/world/mod.rs
@@ -3,11 +3,13 @@
 //! rule after each step, from what the stand-ins see and never from the cores' own books.
 
 mod cloud;
+pub mod days;
 mod rules;
 mod state;
 mod tests;
 mod workers;
 
+use crate::feature::{Call, Feature};
 use crate::node::{Core, Effect, Input, Method, Now};
 use crate::settings::{Settings, parse};
 use crate::types::{OpId, Time, Wall};
@@ -91,6 +93,7 @@
         user: usize,
         ask: u64,
     },
+    Answered(Answered),
     Fault(Fault),
 }
 
@@ -126,8 +129,31 @@
 /// Who waits for the answer to a request at a node.
 #[derive(Debug)]
 enum Asker {
-    User { user: usize, ask: u64 },
-    Worker { machine: usize, session: u64, sent: u64, report: u64 },
+    User {
+        user: usize,
+        ask: u64,
+    },
+    Worker {
+        machine: usize,
+        session: u64,
+        sent: u64,
+        report: u64,
+    },
+    /// The test itself.
+    Test {
+        tag: u64,
+    },
+}
+
+/// An answer to the test itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answered {
+    pub tag: u64,
+    pub node: usize,
+    pub status: u16,
+    pub retry_after_s: Option<u32>,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: String,
 }
 
 pub struct Node {
@@ -190,6 +216,13 @@
     pub rules: Rules,
     /// Over all that the cores did, and when: the same for days that went the same way.
     pub digest: DefaultHasher,
+    /// What each node is given as it starts.
+    feature: Option<fn() -> Box<dyn Feature>>,
+    feature_prefix: Option<&'static str>,
+    /// Up to which revision jobs' descriptions are uploaded.
+    described: u64,
+    /// Answers to the test itself that have come, in their order.
+    pub answers: Vec<Answered>,
     /// Takes a guard out of a core after each of its steps.
     pub sabotage: Option<fn(&mut Core, u64)>,
 }
@@ -218,6 +251,10 @@
             held: Vec::new(),
             rules: Rules::new(settings[0].workers.cancel_s, &settings[0].teams),
             digest: DefaultHasher::new(),
+            feature: None,
+            feature_prefix: None,
+            described: 0,
+            answers: Vec::new(),
             sabotage: None,
             old: BTreeMap::new(),
             settings,
@@ -258,17 +295,33 @@
 
     /// Sends over a link: with a delay, held back by a cut, or lost in it.
     pub fn send(&mut self, a: Host, b: Host, event: Event) {
+        self.send_aside(a, b, event, false);
+    }
+
+    fn send_aside(&mut self, a: Host, b: Host, event: Event, aside: bool) {
         match self.is_cut(a, b) {
             Some(true) => self.held.push((a, b, event)),
             Some(false) => {}
             None => {
-                let slow = self.rng.random_bool(0.01);
-                let ms = if slow { self.rng_ms(100, 600) } else { self.rng_ms(1, 8) };
+                // What is aside takes no draw and no longer than anything else.
+                let slow = !aside && self.rng.random_bool(0.01);
+                let ms = match (aside, slow) {
+                    (true, _) => 1,
+                    (_, true) => self.rng_ms(100, 600),
+                    _ => self.rng_ms(1, 8),
+                };
                 self.after(ms, event);
             }
         }
     }
 
+    /// Gives every node a feature, from its next start on.
+    pub fn with_feature(mut self, feature: fn() -> Box<dyn Feature>) -> Self {
+        self.feature_prefix = Some(feature().prefix());
+        self.feature = Some(feature);
+        self
+    }
+
     pub fn run_until(&mut self, end: u64) {
         while let Some(Reverse(key)) = self.queue.peek().copied() {
             if key.0 > end {
@@ -330,6 +383,9 @@
                 if self.old.contains_key(&i) {
                     core.act_like_the_version_before();
                 }
+                if let Some(feature) = self.feature {
+                    core = core.with_feature(feature());
+                }
                 node.core = Some(core);
                 node.askers.clear();
                 node.open_ops.clear();
@@ -350,6 +406,7 @@
                     self.after(ms, Event::User(user));
                 }
             }
+            Event::Answered(answer) => self.answers.push(answer),
             Event::Fault(fault) => self.fault(fault),
         }
     }
@@ -389,7 +446,7 @@
             node.open_ops.insert(op);
         };
         match effect {
-            Effect::Answer { request, status, body, .. } => {
+            Effect::Answer { request, status, retry_after_s, headers, body } => {
                 let event = match self.nodes[i].askers.remove(&request) {
                     Some(Asker::User { user, ask }) => {
                         (Host::User, Event::UserAnswer { user, ask, status, body })
@@ -398,6 +455,10 @@
                         Host::Machine(machine),
                         Event::ReportAnswer { machine, session, sent, node: i, status, body, report },
                     ),
+                    Some(Asker::Test { tag }) => {
+                        let answer = Answered { tag, node: i, status, retry_after_s, headers, body };
+                        (Host::User, Event::Answered(answer))
+                    }
                     None => return,
                 };
                 self.send(host, event.0, event.1);
@@ -411,7 +472,8 @@
             Effect::State { op, request, patience } => {
                 opens(&mut self.nodes[i], op);
                 self.after(patience.0, Event::Timeout { node: i, life, op, kind: Kind::State });
-                self.send(host, Host::State, Event::State { from: i, life, op, request });
+                let aside = self.is_aside(&request);
+                self.send_aside(host, Host::State, Event::State { from: i, life, op, request }, aside);
             }
             Effect::Cloud { op, request, patience } => {
                 opens(&mut self.nodes[i], op);
@@ -438,6 +500,11 @@
         path: String,
         body: String,
     ) -> bool {
+        let input = |request| Input::Http { request, method, path, body: body.into_bytes() };
+        self.hand(i, asker, from, input)
+    }
+
+    fn hand(&mut self, i: usize, asker: Asker, from: Host, input: impl FnOnce(OpId) -> Input) -> bool {
         if self.nodes[i].core.is_none() || self.is_cut(from, Host::Node(i)) == Some(false) {
             return false;
         }
@@ -446,11 +513,20 @@
         let request = OpId(node.next_request);
         node.askers.insert(request, asker);
         let life = node.life;
-        let input = Input::Http { request, method, path, body: body.into_bytes() };
-        self.send(from, Host::Node(i), Event::Input(i, life, input));
+        self.send(from, Host::Node(i), Event::Input(i, life, input(request)));
         true
     }
 
+    /// Asks a node, as a user would; the answer comes to `answers`. False: the connection fails.
+    pub fn ask(&mut self, i: usize, tag: u64, method: Method, path: &str, body: &str) -> bool {
+        self.request(i, Asker::Test { tag }, Host::User, method, path.into(), body.into())
+    }
+
+    /// Calls a node's feature; the answer comes to `answers`. False: the connection fails.
+    pub fn call(&mut self, i: usize, tag: u64, call: Call) -> bool {
+        self.hand(i, Asker::Test { tag }, Host::User, |request| Input::Call { slot: 0, request, call })
+    }
+
     // ---- users ----
 
     pub fn add_user(&mut self, at: u64, body: Value, withdraw_at: Option<u64>) {
--- a/crates/scheduler/src/world/rules.rs
+++ b/crates/scheduler/src/world/rules.rs
@@ -23,6 +23,8 @@
     done: BTreeMap<String, BTreeSet<u64>>,
     told: BTreeMap<String, Told>,
     pub started: u64,
+    /// Every start: when, task, machine.
+    pub starts: Vec<(u64, String, MachineId)>,
 }
 
 fn split(task: &str) -> (&str, u64) {
@@ -40,6 +42,7 @@
             done: BTreeMap::new(),
             told: BTreeMap::new(),
             started: 0,
+            starts: Vec::new(),
         }
     }
 
@@ -107,6 +110,7 @@
         workers: &[Worker],
     ) {
         self.started += 1;
+        self.starts.push((now, task.into(), machine.clone()));
         let (job, _) = split(task);
         let Some(body) = self.body(job) else {
             return self.fail(now, format!("invented: {task} starts, nobody submitted it"));
--- a/crates/scheduler/src/world/state.rs
+++ b/crates/scheduler/src/world/state.rs
@@ -1,9 +1,11 @@
 //! A stand-in of the state service.
 
 use super::{Event, Host, Input, World};
+use crate::jobs::{self, Record};
 use crate::store::Limits;
 use crate::types::{OpId, Permit, Stamp};
 use crate::wire::state::{Change, Event as News, Pair, StateReply, StateRequest};
+use crate::wire::users;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug)]
@@ -66,6 +68,16 @@
         self.keys.get(key).map(|(value, ..)| value.as_str())
     }
 
+    pub fn stamp(&self, key: &str) -> Option<Stamp> {
+        self.keys.get(key).map(|(_, stamp, _)| *stamp)
+    }
+
+    /// All pairs under a prefix.
+    pub fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a str, &'a str)> {
+        let all = self.keys.range(prefix.to_string()..).take_while(move |(k, _)| k.starts_with(prefix));
+        all.map(|(k, v)| (k.as_str(), v.0.as_str()))
+    }
+
     pub fn outage(&mut self, on: bool, now: u64) {
         self.away = on;
         if !on {
@@ -179,15 +191,27 @@
 }
 
 impl World {
-    fn reply(&mut self, node: usize, life: u64, op: OpId, reply: StateReply) {
-        self.send(Host::State, Host::Node(node), Event::Input(node, life, Input::State { op, reply }));
+    fn reply(&mut self, node: usize, life: u64, op: OpId, reply: StateReply, aside: bool) {
+        let input = Event::Input(node, life, Input::State { op, reply });
+        self.send_aside(Host::State, Host::Node(node), input, aside);
+    }
+
+    /// Whether a request only follows a feature's records. Such have delays of their own, so that all else
+    /// goes the same way whether a job came through a feature or not.
+    pub(super) fn is_aside(&self, request: &StateRequest) -> bool {
+        let prefix = match request {
+            StateRequest::Range { prefix, .. } | StateRequest::Watch { prefix, .. } => prefix,
+            _ => return false,
+        };
+        self.feature_prefix.as_ref().is_some_and(|own| own == prefix)
     }
 
     pub fn state_request(&mut self, from: usize, life: u64, op: OpId, request: StateRequest) {
         let now = self.now;
+        let aside = self.is_aside(&request);
         self.state.expire(now);
         if self.state.away || self.state.refused.contains(&from) {
-            return self.reply(from, life, op, StateReply::Refused);
+            return self.reply(from, life, op, StateReply::Refused, aside);
         }
         if let StateRequest::Watch { prefix, from: since, block_ms } = &request
             && *block_ms > 0
@@ -199,7 +223,8 @@
             return self.after(*block_ms, Event::WatchEnds(id));
         }
         let answer = self.state.answer(request, now);
-        self.reply(from, life, op, answer);
+        self.reply(from, life, op, answer, aside);
+        self.upload_descriptions();
         let due: Vec<u64> = self
             .state
             .watches
@@ -211,6 +236,25 @@
         due.into_iter().for_each(|id| self.watch_ends(id));
     }
 
+    /// Users who come through a feature upload their jobs' descriptions for the workers, as others do.
+    fn upload_descriptions(&mut self) {
+        if self.feature.is_none() || self.state.epoch == self.described {
+            return;
+        }
+        self.described = self.state.epoch;
+        let mut new = Vec::new();
+        for (key, value) in self.state.under(jobs::PREFIX) {
+            let id = &key[jobs::PREFIX.len()..];
+            if self.rules.body(id).is_none()
+                && let Ok(Record::Open(job)) = serde_json::from_str(value)
+            {
+                let body = users::write_submission(&id.into(), &job.spec);
+                new.push((id.to_string(), serde_json::from_str(&body).unwrap_or_default()));
+            }
+        }
+        new.iter().for_each(|(id, body)| self.rules.submitted(id, body));
+    }
+
     pub fn watch_ends(&mut self, id: u64) {
         if self.state.away {
             return self.after(200, Event::WatchEnds(id));
@@ -218,7 +262,8 @@
         if let Some(w) = self.state.watches.remove(&id) {
             let events = self.state.since(w.prefix, w.since);
             let epoch = self.state.epoch;
-            self.reply(w.from, w.life, w.op, StateReply::Events { epoch, events });
+            let aside = self.feature_prefix.as_ref().is_some_and(|own| *own == w.prefix);
+            self.reply(w.from, w.life, w.op, StateReply::Events { epoch, events }, aside);
         }
     }
 }
