--- a/crates/scheduler/src/world/state.rs
+++ b/crates/scheduler/src/world/state.rs
@@ -72,6 +72,11 @@
         self.keys.get(key).map(|(_, stamp, _)| *stamp)
     }
 
+    /// How many changes were made under a prefix so far.
+    pub fn changes(&self, prefix: &str) -> usize {
+        self.history.iter().filter(|n| news_key(n).0.starts_with(prefix)).count()
+    }
+
     /// All pairs under a prefix.
     pub fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a str, &'a str)> {
         let all = self.keys.range(prefix.to_string()..).take_while(move |(k, _)| k.starts_with(prefix));
