The door: lists' index never back after a restart; waiting queries and retries in files of their own

Change: a name's record brings in the revisions of its native jobs. Queries that wait (`limits`) and registrations on their way (`retry`) are slices with their own state.

--- a/crates/nomad/src/door/mod.rs
+++ b/crates/nomad/src/door/mod.rs
@@ -6,8 +6,10 @@
 pub mod answers;
 mod guards;
 mod ids;
+mod limits;
 pub mod names;
 mod requests;
+mod retry;
 mod rolls;
 #[cfg(test)]
 mod tests;
@@ -20,22 +22,17 @@
 use crate::operator::NomadSettings;
 use crate::translate::{Context, Job, translate};
 use guards::{Guard, holds};
+use limits::Queries;
 use names::{Head, NameHash, PREFIX};
-use pearford_scheduler::feature::{Action, Call, Feature, Input, Outcome, Share, Verb, View};
-use pearford_scheduler::types::{JobId, OpId, Span, Time};
+use pearford_scheduler::feature::{Action, Call, Feature, Input, Verb, View};
+use pearford_scheduler::types::{JobId, OpId, Span};
 use requests::{Ask, Page, Query, Request, Route};
+use retry::{Change, Write};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use tokens::Tokens;
 use upkeep::Upkeep;
-use versions::{Decision, Writes};
-
-/// Tries at a commit whose conditions failed.
-const TRIES: u32 = 4;
-/// Blocking queries answered in one step, so that a change that wakes many does not hold up the node.
-const WOKEN_AT_ONCE: usize = 16;
-/// Lists are told of changes this often at most: each is as long as there are names.
-const LISTS_EVERY: Span = Span::ms(500);
+
 const DEFAULT_WAIT: Span = Span::ms(300_000);
 
 /// An answer before it is sent.
@@ -59,32 +56,6 @@
     }
 }
 
-/// A registration or a stop on its way.
-#[derive(Debug, Clone)]
-enum Change {
-    Register { job: Box<Job>, json: Box<Value>, enforce: Option<u64>, plan: bool },
-    Deregister { hash: NameHash, purge: bool },
-}
-
-impl Change {
-    fn hash(&self) -> NameHash {
-        match self {
-            Change::Register { job, .. } => NameHash::of(&job.namespace, &job.id),
-            Change::Deregister { hash, .. } => hash.clone(),
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Write {
-    request: OpId,
-    change: Change,
-    tries: u32,
-    salt: u64,
-    /// Keys whose conditions failed last: ids among them are taken by somebody else.
-    made: BTreeSet<String>,
-}
-
 /// What waits for a read or a commit.
 #[derive(Debug)]
 enum Waiting {
@@ -93,28 +64,13 @@
     Committing(Write),
 }
 
-/// A blocking query.
-#[derive(Debug)]
-struct Blocked {
-    request: OpId,
-    asked: Request,
-    /// The name whose changes it waits for; none: any.
-    name: Option<NameHash>,
-    until: Time,
-}
-
 pub struct Door {
     settings: NomadSettings,
     tokens: Tokens,
     next_tag: u64,
     waiting: BTreeMap<u64, Waiting>,
-    blocked: Vec<Blocked>,
-    /// When the first of them has waited long enough.
-    next_overdue: Time,
-    /// Which queries may have something new: names changed, and whether any did.
-    woken: BTreeSet<NameHash>,
-    lists_woken: bool,
-    next_lists: Time,
+    /// Queries that wait for a change.
+    queries: Queries,
     /// Names' records, read.
     heads: BTreeMap<NameHash, Head>,
     by_name: BTreeMap<(String, String), NameHash>,
@@ -128,14 +84,10 @@
     pub fn new(settings: NomadSettings) -> Result<Self, Vec<String>> {
         Ok(Self {
             tokens: Tokens::new(&settings.tokens)?,
+            queries: Queries::new(settings.max_blocking),
             settings,
             next_tag: 0,
             waiting: BTreeMap::new(),
-            blocked: Vec::new(),
-            next_overdue: Time::default(),
-            woken: BTreeSet::new(),
-            lists_woken: false,
-            next_lists: Time::default(),
             heads: BTreeMap::new(),
             by_name: BTreeMap::new(),
             owners: BTreeMap::new(),
@@ -228,23 +180,6 @@
         }
     }
 
-    fn write(&mut self, view: &View<'_>, request: OpId, change: Change) -> Vec<Action> {
-        let write = Write { request, change, tries: 0, salt: 0, made: BTreeSet::new() };
-        // Setting the keys if absent decides by itself; no read is needed before. A name that this node
-        // doesn't know may have been registered at another one a moment ago: then a read follows.
-        let known = view.records.get(&write.change.hash().key()).is_some();
-        let registers = matches!(write.change, Change::Register { plan: false, .. });
-        if view.records.epoch().is_none() || view.jobs.epoch().is_none() {
-            return vec![send(request, Reply::error(503, "records are not read yet; come back"))];
-        }
-        // A refusal stands only after the read: what was accepted elsewhere keeps its answer. (Repeats got
-        // "machine types are not known yet" from a node that had just started: seed 119 of the placements.)
-        if registers && !known && !matches!(self.decision(view, &write), Decision::Refuse { .. }) {
-            return self.decide(view, write);
-        }
-        self.read_first(request, Waiting::Write(write))
-    }
-
     fn read_first(&mut self, request: OpId, waiting: Waiting) -> Vec<Action> {
         if self.waiting.len() >= self.settings.max_waiting {
             return vec![send(request, Reply::error(429, "too many requests wait here; come back"))];
@@ -297,16 +232,12 @@
             && index <= after
             && reply.status == 200
         {
-            if self.blocked.len() >= self.settings.max_blocking {
+            if !self.queries.wait(request, asked, view.now) {
                 return vec![send(
                     request,
                     Reply::error(429, "too many queries wait for changes here; come back"),
                 )];
             }
-            let until = view.now + asked.wait;
-            self.next_overdue = if self.blocked.is_empty() { until } else { self.next_overdue.min(until) };
-            let name = asked.ask.name(&asked.namespaces);
-            self.blocked.push(Blocked { request, asked, name, until });
             return Vec::new();
         }
         vec![send(request, reply)]
@@ -457,117 +388,6 @@
         reply
     }
 
-    // ---- writes ----
-
-    fn decision(&self, view: &View<'_>, write: &Write) -> Decision {
-        match &write.change {
-            Change::Register { job, json, enforce, .. } => {
-                versions::register(view, job, json, *enforce, write.salt)
-            }
-            Change::Deregister { hash, purge } => versions::deregister(view, hash, *purge),
-        }
-    }
-
-    fn decide(&mut self, view: &View<'_>, mut write: Write) -> Vec<Action> {
-        match self.decision(view, &write) {
-            Decision::Refuse { status, why } => vec![send(write.request, Reply::error(status, why))],
-            Decision::Same => vec![self.told(view, &write, true)],
-            Decision::Write(writes) => {
-                if let Change::Register { plan: true, .. } = &write.change {
-                    return vec![send(write.request, self.planned(view, &write.change.hash(), false))];
-                }
-                write.made =
-                    writes.conditions.iter().filter(|(_, s)| s.0 == 0).map(|(k, _)| k.clone()).collect();
-                let tag = self.tag();
-                self.waiting.insert(tag, Waiting::Committing(write));
-                let Writes { conditions, changes } = writes;
-                vec![Action::Commit { tag, share: Share::Users, conditions, changes }]
-            }
-        }
-    }
-
-    fn planned(&self, view: &View<'_>, hash: &NameHash, same: bool) -> Reply {
-        let head = versions::head_of(view, hash);
-        let kind = match (&head, same) {
-            (_, true) => "None",
-            (None, _) => "Added",
-            _ => "Edited",
-        };
-        let index = head.map_or(0, |(_, head)| versions::modify_index(view, &head));
-        Reply::json(
-            200,
-            None,
-            &json!({"Diff": {"Type": kind, "ID": "", "Fields": null, "Objects": null, "TaskGroups": null},
-            "Annotations": null, "FailedTGAllocs": null, "JobModifyIndex": index, "CreatedEvals": null,
-            "NextPeriodicLaunch": null, "Warnings": ""}),
-        )
-    }
-
-    /// The answer to a change that has been made, or was so already.
-    fn told(&self, view: &View<'_>, write: &Write, same: bool) -> Action {
-        let hash = write.change.hash();
-        let registers = match &write.change {
-            Change::Register { plan: true, .. } => {
-                return send(write.request, self.planned(view, &hash, same));
-            }
-            Change::Register { .. } => true,
-            Change::Deregister { .. } => false,
-        };
-        let Some((_, head)) = versions::head_of(view, &hash) else {
-            return send(write.request, Reply::error(503, "the record is not here yet; come back"));
-        };
-        let index = answers::index(view, &head);
-        let over = answers::status(view, &head) == "dead";
-        let warning = match (registers && same, head.stopped, over) {
-            (true, true, _) => {
-                "this version was stopped and does not run again; change the job, for example its meta pearford_run"
-            }
-            (true, _, true) => {
-                "this version is done and does not run again; change the job, for example its meta pearford_run"
-            }
-            (true, ..) => "this version is registered already",
-            _ => "",
-        };
-        let id = ids::of_version(&hash, head.version);
-        let reply = json!({"EvalID": id, "EvalCreateIndex": index, "JobModifyIndex": versions::modify_index(view, &head),
-            "Warnings": warning, "Index": index, "LastContact": 0, "KnownLeader": true});
-        send(write.request, Reply::json(200, Some(index), &reply))
-    }
-
-    fn committed(&mut self, view: &View<'_>, mut write: Write, outcome: Outcome) -> Vec<Action> {
-        match outcome {
-            Outcome::Done { .. } => {
-                self.learn(view, &write.change.hash().key());
-                if let Change::Register { job, .. } = &write.change {
-                    tracing::info!(job = job.id, namespace = job.namespace, "registered");
-                }
-                vec![self.told(view, &write, false)]
-            }
-            Outcome::Conflict(failed) if write.tries < TRIES => {
-                write.tries += 1;
-                // An id that was to be new is there: another node's try of the same, or a user's own job.
-                if failed.iter().any(|k| !k.starts_with(PREFIX) && write.made.contains(k)) {
-                    write.salt += 1;
-                }
-                self.read_first(write.request, Waiting::Write(write))
-            }
-            Outcome::Conflict(_) => {
-                vec![send(write.request, Reply::error(503, "the job is changing; come back"))]
-            }
-            Outcome::Malformed => {
-                let why = "the state service does not take the job's records; make the job smaller";
-                vec![send(write.request, Reply::error(422, why))]
-            }
-            Outcome::NoBudget => {
-                vec![send(write.request, Reply::error(429, "too many registrations at once; come back"))]
-            }
-            Outcome::Unknown => {
-                let why = "the state service can't be written now; come back: the same request changes nothing twice";
-                vec![send(write.request, Reply::error(503, why))]
-            }
-        }
-    }
-
     // ---- what changes ----
 
     /// Takes in the records as they are now.
@@ -582,19 +402,21 @@
         }
         for id in head.jobs() {
             self.owners.insert(id.clone(), hash.clone());
+            // Job records may have been read before the name's: lists must not be told an older index then
+            // than other nodes have told.
+            let stamp = view.jobs.get(id).map_or(0, |k| k.stamp.0);
+            self.newest = self.newest.max(stamp);
         }
         self.by_name.insert((head.namespace.clone(), head.name.clone()), hash.clone());
         self.upkeep.learned(&hash, &head);
         self.heads.insert(hash.clone(), head);
-        self.woken.insert(hash);
-        self.lists_woken = true;
+        self.queries.changed(hash);
     }
 
     fn jobs_changed(&mut self, view: &View<'_>, ids: &[JobId]) {
         for id in ids {
             if let Some(hash) = self.owners.get(id) {
-                self.woken.insert(hash.clone());
-                self.lists_woken = true;
+                self.queries.changed(hash.clone());
                 let stamp = view.jobs.get(id).map_or(0, |k| k.stamp.0);
                 self.newest = self.newest.max(stamp);
             }
@@ -603,46 +425,17 @@
 
     /// Answers queries that have something new, or have waited long enough; a few at a time.
     fn wake(&mut self, view: &View<'_>) -> Vec<Action> {
-        let lists = self.lists_woken && view.now >= self.next_lists;
-        let idle = self.woken.is_empty() && !lists && view.now < self.next_overdue;
-        if self.blocked.is_empty() || idle {
-            self.woken.clear();
-            return Vec::new();
-        }
+        let mut queries = std::mem::take(&mut self.queries);
         let mut out = Vec::new();
-        let mut more = false;
-        let mut i = 0;
-        while i < self.blocked.len() {
-            let b = &self.blocked[i];
-            let overdue = view.now >= b.until;
-            let new = overdue
-                || match &b.name {
-                    Some(hash) => self.woken.contains(hash),
-                    None => lists,
-                };
-            if !new {
-                i += 1;
-                continue;
-            }
-            if out.len() >= WOKEN_AT_ONCE {
-                more = true;
-                break;
-            }
-            let reply = self.answer(view, &b.asked);
-            if overdue || reply.status != 200 || reply.index > b.asked.index {
-                out.push(send(self.blocked.swap_remove(i).request, reply));
-            } else {
-                i += 1;
-            }
-        }
-        if !more {
-            self.next_overdue = self.blocked.iter().map(|b| b.until).min().unwrap_or(view.now);
-            self.woken.clear();
-            if lists {
-                self.lists_woken = false;
-                self.next_lists = view.now + LISTS_EVERY;
-            }
-        }
+        queries.wake(view.now, |request, asked, overdue| {
+            let reply = self.answer(view, asked);
+            let answers = overdue || reply.status != 200 || reply.index > asked.index;
+            if answers {
+                out.push(send(request, reply));
+            }
+            answers
+        });
+        self.queries = queries;
         out
     }
 }
@@ -726,7 +519,7 @@
     fn metrics(&self, lines: &mut Vec<String>) {
         lines.push(format!("pearford_nomad_names {}", self.heads.len()));
         lines.push(format!("pearford_nomad_requests_waiting {}", self.waiting.len()));
-        lines.push(format!("pearford_nomad_queries_blocking {}", self.blocked.len()));
+        lines.push(format!("pearford_nomad_queries_blocking {}", self.queries.len()));
         self.upkeep.metrics(lines);
     }
 }
--- /dev/null
+++ b/crates/nomad/src/door/retry.rs
@@ -0,0 +1,167 @@
+//! Registrations and stops on their way: decided from the records as they are, committed if they are still
+//! so, and decided anew if not.
+
+use super::names::{NameHash, PREFIX};
+use super::versions::{self, Decision, Writes};
+use super::{Door, Reply, Waiting, answers, ids, send};
+use crate::translate::Job;
+use pearford_scheduler::feature::{Action, Outcome, Share, View};
+use pearford_scheduler::types::OpId;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+
+/// Tries at a commit whose conditions failed.
+const TRIES: u32 = 4;
+/// A registration or a stop on its way.
+#[derive(Debug, Clone)]
+pub(super) enum Change {
+    Register { job: Box<Job>, json: Box<Value>, enforce: Option<u64>, plan: bool },
+    Deregister { hash: NameHash, purge: bool },
+}
+
+impl Change {
+    fn hash(&self) -> NameHash {
+        match self {
+            Change::Register { job, .. } => NameHash::of(&job.namespace, &job.id),
+            Change::Deregister { hash, .. } => hash.clone(),
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Write {
+    pub(super) request: OpId,
+    change: Change,
+    tries: u32,
+    salt: u64,
+    /// Keys whose conditions failed last: ids among them are taken by somebody else.
+    made: BTreeSet<String>,
+}
+
+impl Door {
+    pub(super) fn write(&mut self, view: &View<'_>, request: OpId, change: Change) -> Vec<Action> {
+        let write = Write { request, change, tries: 0, salt: 0, made: BTreeSet::new() };
+        // Setting the keys if absent decides by itself; no read is needed before. A name that this node
+        // doesn't know may have been registered at another one a moment ago: then a read follows.
+        let known = view.records.get(&write.change.hash().key()).is_some();
+        let registers = matches!(write.change, Change::Register { plan: false, .. });
+        if view.records.epoch().is_none() || view.jobs.epoch().is_none() {
+            return vec![send(request, Reply::error(503, "records are not read yet; come back"))];
+        }
+        // A refusal stands only after the read: what was accepted elsewhere keeps its answer. (Repeats got
+        // "machine types are not known yet" from a node that had just started: seed 119 of the placements.)
+        if registers && !known && !matches!(self.decision(view, &write), Decision::Refuse { .. }) {
+            return self.decide(view, write);
+        }
+        self.read_first(request, Waiting::Write(write))
+    }
+
+    fn decision(&self, view: &View<'_>, write: &Write) -> Decision {
+        match &write.change {
+            Change::Register { job, json, enforce, .. } => {
+                versions::register(view, job, json, *enforce, write.salt)
+            }
+            Change::Deregister { hash, purge } => versions::deregister(view, hash, *purge),
+        }
+    }
+
+    pub(super) fn decide(&mut self, view: &View<'_>, mut write: Write) -> Vec<Action> {
+        match self.decision(view, &write) {
+            Decision::Refuse { status, why } => vec![send(write.request, Reply::error(status, why))],
+            Decision::Same => vec![self.told(view, &write, true)],
+            Decision::Write(writes) => {
+                if let Change::Register { plan: true, .. } = &write.change {
+                    return vec![send(write.request, self.planned(view, &write.change.hash(), false))];
+                }
+                write.made =
+                    writes.conditions.iter().filter(|(_, s)| s.0 == 0).map(|(k, _)| k.clone()).collect();
+                let tag = self.tag();
+                self.waiting.insert(tag, Waiting::Committing(write));
+                let Writes { conditions, changes } = writes;
+                vec![Action::Commit { tag, share: Share::Users, conditions, changes }]
+            }
+        }
+    }
+
+    fn planned(&self, view: &View<'_>, hash: &NameHash, same: bool) -> Reply {
+        let head = versions::head_of(view, hash);
+        let kind = match (&head, same) {
+            (_, true) => "None",
+            (None, _) => "Added",
+            _ => "Edited",
+        };
+        let index = head.map_or(0, |(_, head)| versions::modify_index(view, &head));
+        Reply::json(
+            200,
+            None,
+            &json!({"Diff": {"Type": kind, "ID": "", "Fields": null, "Objects": null, "TaskGroups": null},
+            "Annotations": null, "FailedTGAllocs": null, "JobModifyIndex": index, "CreatedEvals": null,
+            "NextPeriodicLaunch": null, "Warnings": ""}),
+        )
+    }
+
+    /// The answer to a change that has been made, or was so already.
+    fn told(&self, view: &View<'_>, write: &Write, same: bool) -> Action {
+        let hash = write.change.hash();
+        let registers = match &write.change {
+            Change::Register { plan: true, .. } => {
+                return send(write.request, self.planned(view, &hash, same));
+            }
+            Change::Register { .. } => true,
+            Change::Deregister { .. } => false,
+        };
+        let Some((_, head)) = versions::head_of(view, &hash) else {
+            return send(write.request, Reply::error(503, "the record is not here yet; come back"));
+        };
+        let index = answers::index(view, &head);
+        let over = answers::status(view, &head) == "dead";
+        let warning = match (registers && same, head.stopped, over) {
+            (true, true, _) => {
+                "this version was stopped and does not run again; change the job, for example its meta pearford_run"
+            }
+            (true, _, true) => {
+                "this version is done and does not run again; change the job, for example its meta pearford_run"
+            }
+            (true, ..) => "this version is registered already",
+            _ => "",
+        };
+        let id = ids::of_version(&hash, head.version);
+        let reply = json!({"EvalID": id, "EvalCreateIndex": index, "JobModifyIndex": versions::modify_index(view, &head),
+            "Warnings": warning, "Index": index, "LastContact": 0, "KnownLeader": true});
+        send(write.request, Reply::json(200, Some(index), &reply))
+    }
+
+    pub(super) fn committed(&mut self, view: &View<'_>, mut write: Write, outcome: Outcome) -> Vec<Action> {
+        match outcome {
+            Outcome::Done { .. } => {
+                self.learn(view, &write.change.hash().key());
+                if let Change::Register { job, .. } = &write.change {
+                    tracing::info!(job = job.id, namespace = job.namespace, "registered");
+                }
+                vec![self.told(view, &write, false)]
+            }
+            Outcome::Conflict(failed) if write.tries < TRIES => {
+                write.tries += 1;
+                // An id that was to be new is there: another node's try of the same, or a user's own job.
+                if failed.iter().any(|k| !k.starts_with(PREFIX) && write.made.contains(k)) {
+                    write.salt += 1;
+                }
+                self.read_first(write.request, Waiting::Write(write))
+            }
+            Outcome::Conflict(_) => {
+                vec![send(write.request, Reply::error(503, "the job is changing; come back"))]
+            }
+            Outcome::Malformed => {
+                let why = "the state service does not take the job's records; make the job smaller";
+                vec![send(write.request, Reply::error(422, why))]
+            }
+            Outcome::NoBudget => {
+                vec![send(write.request, Reply::error(429, "too many registrations at once; come back"))]
+            }
+            Outcome::Unknown => {
+                let why = "the state service can't be written now; come back: the same request changes nothing twice";
+                vec![send(write.request, Reply::error(503, why))]
+            }
+        }
+    }
+}
--- a/crates/nomad/src/door/tests/histories.rs
+++ b/crates/nomad/src/door/tests/histories.rs
@@ -54,6 +54,9 @@
     /// What had been told of each name when a question was asked: no answer may be older.
     floors: BTreeMap<u64, (usize, Seen, bool)>,
     told: Vec<Seen>,
+    /// The newest index that a list was told, and those asked for with what had been told by then.
+    listed: u64,
+    lists: BTreeMap<u64, u64>,
     /// Versions that were told to be over, and how many tasks were complete.
     over: BTreeMap<(usize, u64), u64>,
     broken: Vec<String>,
@@ -114,6 +117,8 @@
             tag: 0,
             floors: BTreeMap::new(),
             told,
+            listed: 0,
+            lists: BTreeMap::new(),
             over: BTreeMap::new(),
             broken: Vec::new(),
         }
@@ -174,8 +179,12 @@
         }
     }
 
-    /// Reads a name at some node.
+    /// Reads a name at some node, and a list at another.
     fn question(&mut self) {
+        self.tag += 1;
+        self.lists.insert(self.tag, self.listed);
+        let node = self.rng.random_range(0..NODES);
+        self.w.call(node, self.tag, call(Verb::Get, "/v1/jobs", "namespace=*", &Value::Null));
         let u = self.rng.random_range(0..self.users.len());
         let node = self.rng.random_range(0..NODES);
         let escaped: String = self.users[u].name.bytes().map(|b| format!("%{b:02X}")).collect();
@@ -187,12 +196,23 @@
 
     fn answered(&mut self, now: u64, answer: Answered) {
         let body: Value = serde_json::from_str(&answer.body).unwrap_or(Value::Null);
+        let index =
+            answer.headers.iter().find(|(k, _)| *k == "x-nomad-index").and_then(|(_, v)| v.parse().ok());
+        if let Some(floor) = self.lists.remove(&answer.tag) {
+            let index: u64 = index.unwrap_or(u64::MAX);
+            if answer.status == 200 && index < floor {
+                self.broken.push(format!("at {now}: the list's index is {index} after {floor}"));
+            }
+            if answer.status == 200 {
+                self.listed = self.listed.max(index);
+            }
+            return;
+        }
         if let Some((u, floor, _)) = self.floors.remove(&answer.tag) {
             if answer.status != 200 {
                 return;
             }
-            let header = answer.headers.iter().find(|(k, _)| *k == "x-nomad-index");
-            let index = header.and_then(|(_, v)| v.parse().ok()).unwrap_or(0);
+            let index = index.unwrap_or(0);
             let seen = Seen { index, version: body["Version"].as_u64().unwrap_or(0) };
             if seen.index < floor.index || seen.version < floor.version {
                 self.broken
