Files that a client has parsed are evaluated within a node's own, smaller budget

Cause: the command line's budget of 200,000 steps takes a controller with a twentieth of a core seconds, in which a leader loses its grant.

Change: 5,000 steps and 256 KiB for what comes to the door, told in the answer.

Result: the example parses; nested loops are refused with "takes too long to evaluate".

--- a/crates/nomad/src/door/requests.rs
+++ b/crates/nomad/src/door/requests.rs
@@ -4,7 +4,7 @@
 use super::names::NameHash;
 use crate::decode;
 use crate::fault::Faults;
-use crate::hcl::{self, Assignment};
+use crate::hcl::{self, Assignment, Budget};
 use crate::translate::{Context, translate};
 use pearford_scheduler::feature::Verb;
 use pearford_scheduler::types::Span;
@@ -288,11 +288,11 @@
         (400, faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
     };
     let variables: Vec<Assignment> = match member("Variables").and_then(Value::as_str) {
-        Some(text) => hcl::read_assignments(text).map_err(told)?,
+        Some(text) => hcl::read_assignments(text, Budget::CALL).map_err(told)?,
         None => Vec::new(),
     };
     let mut faults = Faults::default();
-    let block = hcl::read(text, &variables, &mut faults).map_err(told)?;
+    let block = hcl::read(text, &variables, Budget::CALL, &mut faults).map_err(told)?;
     let section = decode::file(&block, &mut faults);
     translate(&section, context, faults).map_err(told)?;
     Ok(section.to_api("job"))
--- a/crates/nomad/src/door/tests/hostile.rs
+++ b/crates/nomad/src/door/tests/hostile.rs
@@ -194,3 +194,20 @@
     // One that nothing wakes ends by itself.
     assert_eq!(answered(&mut w, ask("namespace=red&index=999999&wait=2s")), 200);
 }
+
+/// A file that a client has parsed is evaluated by the node itself: within a budget of its own.
+#[test]
+fn a_file_that_takes_long_to_evaluate_is_refused() {
+    let mut w = world();
+    let mut parse = |hcl: &str| {
+        let body = json!({"JobHCL": hcl});
+        let status = answered(&mut w, call(Verb::Post, "/v1/jobs/parse", "namespace=red", &body));
+        (status, w.answers.first().map(|a| a.body.clone()).unwrap_or_default())
+    };
+    let good = include_str!("../../../../../examples/quote-api.nomad.hcl");
+    let (status, body) = parse(good);
+    assert!(status == 200 && body.contains("\"Count\":6"), "{status} {body}");
+    let (status, body) =
+        parse("job \"x\" {\n  priority = length([for a in range(100) : [for b in range(100) : a * b]])\n}\n");
+    assert!(status == 400 && body.contains("takes too long"), "{status} {body}");
+}
--- a/crates/nomad/src/hcl/eval.rs
+++ b/crates/nomad/src/hcl/eval.rs
@@ -10,8 +10,18 @@
 use std::ops::Range;
 
 /// Expressions evaluated, and bytes of values made, for one file.
-const STEPS: usize = 200_000;
-const BYTES: usize = 4 * 1024 * 1024;
+#[derive(Debug, Clone, Copy)]
+pub struct Budget {
+    steps: usize,
+    bytes: usize,
+}
+
+impl Budget {
+    /// On a command line, where only the one who asks waits.
+    pub const FILE: Self = Self { steps: 200_000, bytes: 4 * 1024 * 1024 };
+    /// In a node, which does nothing else meanwhile and has a small share of a core.
+    pub const CALL: Self = Self { steps: 5_000, bytes: 256 * 1024 };
+}
 
 #[derive(Debug)]
 pub struct Error {
@@ -35,9 +45,9 @@
     bytes: usize,
 }
 
-impl Default for Scope {
-    fn default() -> Self {
-        Self { names: Vec::new(), steps: STEPS, bytes: BYTES }
+impl Scope {
+    pub fn new(budget: Budget) -> Self {
+        Self { names: Vec::new(), steps: budget.steps, bytes: budget.bytes }
     }
 }
 
--- a/crates/nomad/src/hcl/mod.rs
+++ b/crates/nomad/src/hcl/mod.rs
@@ -8,6 +8,7 @@
 mod functions;
 mod variables;
 
+pub use eval::Budget;
 pub use variables::{Assignment, read_assignments};
 
 use crate::fault::{Fault, Faults, Pos};
@@ -53,10 +54,15 @@
 
 /// Reads a job file: its `job` block, with all expressions evaluated. Fields that can't be are in
 /// `faults`; an error is one that leaves nothing to go on with.
-pub fn read(text: &str, assignments: &[Assignment], faults: &mut Faults) -> Result<Block, Vec<Fault>> {
+pub fn read(
+    text: &str,
+    assignments: &[Assignment],
+    budget: Budget,
+    faults: &mut Faults,
+) -> Result<Block, Vec<Fault>> {
     let body = parse(text)?;
     let places = Places::of(text);
-    let mut scope = Scope::default();
+    let mut scope = Scope::new(budget);
     variables::declare(&body, assignments, &places, &mut scope, faults);
     variables::locals(&body, &places, &mut scope, faults);
     let mut job = None;
--- a/crates/nomad/src/hcl/variables.rs
+++ b/crates/nomad/src/hcl/variables.rs
@@ -1,6 +1,6 @@
 //! `variable` and `locals`, and what is assigned from outside.
 
-use super::eval::Scope;
+use super::eval::{Budget, Scope};
 use super::{Places, parse};
 use crate::fault::{Fault, Faults, Pos};
 use crate::tree::Value;
@@ -27,10 +27,10 @@
 }
 
 /// Reads a file of assignments (`-var-file`).
-pub fn read_assignments(text: &str) -> Result<Vec<Assignment>, Vec<Fault>> {
+pub fn read_assignments(text: &str, budget: Budget) -> Result<Vec<Assignment>, Vec<Fault>> {
     let body = parse(text)?;
     let places = Places::of(text);
-    let (mut faults, mut scope, mut out) = (Faults::default(), Scope::default(), Vec::new());
+    let (mut faults, mut scope, mut out) = (Faults::default(), Scope::new(budget), Vec::new());
     for block in body.blocks() {
         faults.add(
             places.at(block.span()),
--- a/crates/nomad/src/source.rs
+++ b/crates/nomad/src/source.rs
@@ -2,7 +2,7 @@
 
 use crate::decode;
 use crate::fault::{Fault, Faults, Pos};
-use crate::hcl::{self, Assignment, MAX_FILE};
+use crate::hcl::{self, Assignment, Budget, MAX_FILE};
 use crate::translate::{Context, Job, translate};
 
 /// Reads and translates a job file, HCL or JSON; the faults have their places in it.
@@ -12,7 +12,7 @@
         let section = decode::api(&json(text)?, &mut faults);
         return translate(&section, context, faults).map_err(|faults| placed(text, faults));
     }
-    let section = decode::file(&hcl::read(text, assignments, &mut faults)?, &mut faults);
+    let section = decode::file(&hcl::read(text, assignments, Budget::FILE, &mut faults)?, &mut faults);
     translate(&section, context, faults)
 }
 
@@ -27,7 +27,7 @@
         return json(text);
     }
     let mut faults = Faults::default();
-    let section = decode::file(&hcl::read(text, assignments, &mut faults)?, &mut faults);
+    let section = decode::file(&hcl::read(text, assignments, Budget::FILE, &mut faults)?, &mut faults);
     faults.or(section.to_api("job"))
 }
 
--- a/crates/pearford/src/nomad.rs
+++ b/crates/pearford/src/nomad.rs
@@ -8,7 +8,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use pearford_nomad::fault::Fault;
-use pearford_nomad::hcl::{Assignment, read_assignments};
+use pearford_nomad::hcl::{Assignment, Budget, read_assignments};
 use pearford_nomad::operator::NomadSettings;
 use pearford_nomad::source;
 use pearford_nomad::translate::Context;
@@ -251,7 +251,7 @@
     fn assignments(&self) -> Result<Vec<Assignment>, Vec<String>> {
         let mut out = Vec::new();
         for path in &self.var_files {
-            out.extend(read_assignments(&read(path)?).map_err(|faults| shown(path, &faults))?);
+            out.extend(read_assignments(&read(path)?, Budget::FILE).map_err(|faults| shown(path, &faults))?);
         }
         for var in &self.vars {
             let typed = Assignment::typed(var);
