--- a/crates/nomad/src/door/mod.rs
+++ b/crates/nomad/src/door/mod.rs
@@ -24,7 +24,7 @@
 use guards::{Guard, holds};
 use limits::Queries;
 use names::{Head, NameHash, PREFIX};
-use pearford_scheduler::feature::{Action, Call, Feature, Input, Verb, View};
+use pearford_scheduler::feature::{Action, Call, Feature, Input, View};
 use pearford_scheduler::types::{JobId, OpId, Span};
 use requests::{Ask, Page, Query, Request, Route};
 use retry::{Change, Write};
@@ -523,8 +523,3 @@
         self.upkeep.metrics(lines);
     }
 }
-
-/// The verbs that write.
-pub(crate) fn is_write(verb: Verb) -> bool {
-    matches!(verb, Verb::Post | Verb::Put)
-}
--- a/crates/nomad/src/door/requests.rs
+++ b/crates/nomad/src/door/requests.rs
@@ -1,11 +1,10 @@
 //! What is asked for: paths, queries, bodies.
 
-use super::is_write;
 use super::names::NameHash;
 use crate::decode;
-use crate::fault::Faults;
 use crate::hcl::{self, Assignment, Budget};
-use crate::translate::{Context, translate};
+use crate::source;
+use crate::translate::Context;
 use pearford_scheduler::feature::Verb;
 use pearford_scheduler::types::Span;
 use serde_json::{Map, Value};
@@ -160,7 +159,7 @@
     let parts = parts.ok_or((400, "the path is not UTF-8".to_string()))?;
     let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
     let get = verb == Verb::Get;
-    let write = is_write(verb);
+    let write = matches!(verb, Verb::Post | Verb::Put);
     let ask =
         |ask: Ask| if get { Ok(Route::Ask(ask)) } else { Err((405, "wrong method for this path".into())) };
     let absent = |what: &str| Err((501, format!("pearford has no {what}")));
@@ -291,9 +290,5 @@
         Some(text) => hcl::read_assignments(text, Budget::CALL).map_err(told)?,
         None => Vec::new(),
     };
-    let mut faults = Faults::default();
-    let block = hcl::read(text, &variables, Budget::CALL, &mut faults).map_err(told)?;
-    let section = decode::file(&block, &mut faults);
-    translate(&section, context, faults).map_err(told)?;
-    Ok(section.to_api("job"))
+    source::hcl_as_api(text, &variables, Budget::CALL, context).map_err(told)
 }
--- a/crates/nomad/src/door/retry.rs
+++ b/crates/nomad/src/door/retry.rs
@@ -12,6 +12,7 @@
 
 /// Tries at a commit whose conditions failed.
 const TRIES: u32 = 4;
+
 /// A registration or a stop on its way.
 #[derive(Debug, Clone)]
 pub(super) enum Change {
@@ -34,7 +35,7 @@
     change: Change,
     tries: u32,
     salt: u64,
-    /// Keys whose conditions failed last: ids among them are taken by somebody else.
+    /// Keys that the last try was to make: if one is there, its id is taken.
     made: BTreeSet<String>,
 }
 
@@ -50,8 +51,11 @@
         }
         // A refusal stands only after the read: what was accepted elsewhere keeps its answer. (Repeats got
         // "machine types are not known yet" from a node that had just started: seed 119 of the placements.)
-        if registers && !known && !matches!(self.decision(view, &write), Decision::Refuse { .. }) {
-            return self.decide(view, write);
+        if registers && !known {
+            let decision = self.decision(view, &write);
+            if !matches!(decision, Decision::Refuse { .. }) {
+                return self.carry_out(view, write, decision);
+            }
         }
         self.read_first(request, Waiting::Write(write))
     }
@@ -65,8 +69,13 @@
         }
     }
 
-    pub(super) fn decide(&mut self, view: &View<'_>, mut write: Write) -> Vec<Action> {
-        match self.decision(view, &write) {
+    pub(super) fn decide(&mut self, view: &View<'_>, write: Write) -> Vec<Action> {
+        let decision = self.decision(view, &write);
+        self.carry_out(view, write, decision)
+    }
+
+    fn carry_out(&mut self, view: &View<'_>, mut write: Write, decision: Decision) -> Vec<Action> {
+        match decision {
             Decision::Refuse { status, why } => vec![send(write.request, Reply::error(status, why))],
             Decision::Same => vec![self.told(view, &write, true)],
             Decision::Write(writes) => {
--- a/crates/nomad/src/door/versions.rs
+++ b/crates/nomad/src/door/versions.rs
@@ -32,6 +32,13 @@
             self.put(jobs::key(id), known.stamp, Record::Withdrawn.to_value());
         }
     }
+
+    /// Withdraws as many as the transaction has room for; gives the rest, for `ending`.
+    fn withdraw_some(&mut self, view: &View<'_>, mut open: Vec<JobId>, room: usize) -> Vec<JobId> {
+        let rest = open.split_off(room.min(open.len()));
+        open.iter().for_each(|id| self.withdraw(view, id));
+        rest
+    }
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -149,16 +156,8 @@
     }
     let record = VersionRecord::new(&digest, view.wall.0, json).to_value();
     let stamp = known.as_ref().map_or(Stamp(0), |(stamp, _)| *stamp);
-    let mut spare = ops - 2 - made.len();
-    for id in leaving {
-        match spare.checked_sub(1) {
-            Some(left) => {
-                writes.withdraw(view, &id);
-                spare = left;
-            }
-            None => head.ending.push(id),
-        }
-    }
+    let spare = ops - 2 - made.len();
+    head.ending.extend(writes.withdraw_some(view, leaving, spare));
     for (what, value) in [("its record", &head.to_value()), ("the job", &record)] {
         let (bytes, limit) = (value.len(), view.settings.state.value_bytes);
         if bytes > limit {
@@ -212,9 +211,7 @@
     let version_key = hash.version_key(head.version);
     let version = view.records.get(&version_key).map(|(stamp, value)| (stamp, value.to_string()));
     let at_once = view.settings.state.txn_ops - 1 - usize::from(version.is_some());
-    let now = open.len().min(at_once);
-    open[..now].iter().for_each(|id| writes.withdraw(view, id));
-    head.ending = open[now..].to_vec();
+    head.ending = writes.withdraw_some(view, open, at_once);
     writes.put(hash.key(), stamp, head.to_value());
     if let Some((stamp, value)) = version {
         writes.put(version_key, stamp, value);
@@ -231,9 +228,7 @@
     let mut writes = Writes::default();
     let at_once = view.settings.state.txn_ops - 1;
     let open: Vec<JobId> = head.ending.iter().filter(|id| is_open(view, id)).cloned().collect();
-    let now = open.len().min(at_once);
-    open[..now].iter().for_each(|id| writes.withdraw(view, id));
-    head.ending = open[now..].to_vec();
+    head.ending = writes.withdraw_some(view, open, at_once);
     writes.put(hash.key(), stamp, head.to_value());
     Some(writes)
 }
--- a/crates/nomad/src/source.rs
+++ b/crates/nomad/src/source.rs
@@ -22,13 +22,24 @@
     assignments: &[Assignment],
     context: &Context,
 ) -> Result<serde_json::Value, Vec<Fault>> {
-    job(text, assignments, context)?;
     if text.trim_start().starts_with('{') {
+        job(text, assignments, context)?;
         return json(text);
     }
+    hcl_as_api(text, assignments, Budget::FILE, context)
+}
+
+/// As `as_api`, of a file in HCL.
+pub fn hcl_as_api(
+    text: &str,
+    assignments: &[Assignment],
+    budget: Budget,
+    context: &Context,
+) -> Result<serde_json::Value, Vec<Fault>> {
     let mut faults = Faults::default();
-    let section = decode::file(&hcl::read(text, assignments, Budget::FILE, &mut faults)?, &mut faults);
-    faults.or(section.to_api("job"))
+    let section = decode::file(&hcl::read(text, assignments, budget, &mut faults)?, &mut faults);
+    translate(&section, context, faults)?;
+    Ok(section.to_api("job"))
 }
 
 /// A job in JSON: as it is, or as the `Job` of a request.
--- a/crates/scheduler/src/node/core/features.rs
+++ b/crates/scheduler/src/node/core/features.rs
@@ -33,15 +33,6 @@
     jobs: u64,
 }
 
-/// What is to be handed to a feature.
-enum Event {
-    Tick,
-    Call { request: OpId, call: Call },
-    Records(Vec<String>),
-    Committed { tag: u64, outcome: Outcome },
-    Read { tag: u64, fresh: bool },
-}
-
 impl Core {
     /// Adds a feature. Its slot is the number of those added before.
     pub fn with_feature(mut self, feature: Box<dyn Feature>) -> Self {
@@ -57,7 +48,7 @@
         if slot >= self.features.len() {
             return self.out.refuse(request, 404, "no such path");
         }
-        self.hand(slot, Event::Call { request, call });
+        self.hand(slot, Input::Call { request, call });
     }
 
     pub(super) fn features_tick(&mut self) {
@@ -65,16 +56,15 @@
         for slot in 0..self.features.len() {
             let overdue = self.features[slot].reads.extract_if(.., |a| now.since(a.at) >= READ_PATIENCE);
             for tag in overdue.map(|a| a.tag).collect::<Vec<_>>() {
-                self.hand(slot, Event::Read { tag, fresh: false });
+                self.hand(slot, Input::Read { tag, fresh: false });
             }
-            self.hand(slot, Event::Tick);
+            self.hand(slot, Input::Tick);
         }
     }
 
     pub(super) fn features_learn_jobs(&mut self, changed: &[JobId]) {
         for slot in 0..self.features.len() {
-            let actions = self.step_feature(slot, Input::Jobs(changed));
-            self.act(slot, actions);
+            self.hand(slot, Input::Jobs(changed));
         }
     }
 
@@ -91,7 +81,7 @@
             s.follower.pump(self.now, s.records.epoch(), wanted, &mut self.out);
             let changed = s.records.take_changed();
             if !changed.is_empty() {
-                self.hand(slot, Event::Records(changed));
+                self.hand(slot, Input::Records(&changed));
             }
             let (s, jobs) = (&mut self.features[slot], &self.follower);
             let mut over = Vec::new();
@@ -107,7 +97,7 @@
                 _ => true,
             });
             for (tag, fresh) in over {
-                self.hand(slot, Event::Read { tag, fresh });
+                self.hand(slot, Input::Read { tag, fresh });
             }
         }
     }
@@ -136,7 +126,7 @@
             StateReply::Malformed => Outcome::Malformed,
             _ => Outcome::Unknown,
         };
-        self.hand(slot, Event::Committed { tag, outcome });
+        self.hand(slot, Input::Committed { tag, outcome });
     }
 
     fn learn_change(&mut self, slot: usize, epoch: u64, change: &Change) {
@@ -152,14 +142,8 @@
         }
     }
 
-    fn hand(&mut self, slot: usize, event: Event) {
-        let actions = match event {
-            Event::Tick => self.step_feature(slot, Input::Tick),
-            Event::Call { request, call } => self.step_feature(slot, Input::Call { request, call }),
-            Event::Records(keys) => self.step_feature(slot, Input::Records(&keys)),
-            Event::Committed { tag, outcome } => self.step_feature(slot, Input::Committed { tag, outcome }),
-            Event::Read { tag, fresh } => self.step_feature(slot, Input::Read { tag, fresh }),
-        };
+    fn hand(&mut self, slot: usize, input: Input<'_>) {
+        let actions = self.step_feature(slot, input);
         self.act(slot, actions);
     }
 
@@ -223,7 +207,7 @@
             }
         };
         if !paid {
-            return self.hand(slot, Event::Committed { tag, outcome: Outcome::NoBudget });
+            return self.hand(slot, Input::Committed { tag, outcome: Outcome::NoBudget });
         }
         let request = StateRequest::Commit { conditions, changes: changes.clone() };
         self.out.ask_state(request, Pending::Feature { slot, tag, changes });
