Nomad's door lists machines, read from the ledger's records when somebody asks

A page is one read of the state service, at most two a second at a node; no node keeps a copy for it, so off or unasked it costs nothing. Tasks of a machine are shown to tokens good for all namespaces. Why allocations name no machine and why there is no event stream: docs/design/nomad.md.

--- a/crates/nomad/src/door/mod.rs
+++ b/crates/nomad/src/door/mod.rs
@@ -7,6 +7,7 @@
 mod guards;
 mod ids;
 mod limits;
+mod machines;
 pub mod names;
 mod requests;
 mod retry;
@@ -60,6 +61,7 @@
 #[derive(Debug)]
 enum Waiting {
     Ask(OpId, Request),
+    Machines(OpId, machines::Asked),
     Write(Write),
     Committing(Write),
 }
@@ -139,6 +141,9 @@
                 };
                 let wait = query.duration("wait").unwrap_or(DEFAULT_WAIT);
                 let wait = Span::ms(wait.0.min((self.settings.max_wait_s * 1000.0) as u64));
+                if let Some(asked) = machines::Asked::of(&ask, &page, caller.may_read("*")) {
+                    return self.read_machines(request, asked);
+                }
                 let asked = Request { ask, namespaces, page, index: query.number("index"), wait };
                 if query.has("stale") || !holds(Guard::FreshRead) {
                     return self.ask(view, request, asked);
@@ -181,12 +186,22 @@
     }
 
     fn read_first(&mut self, request: OpId, waiting: Waiting) -> Vec<Action> {
+        self.wait(request, waiting, |tag| Action::Read { tag })
+    }
+
+    fn read_machines(&mut self, request: OpId, asked: machines::Asked) -> Vec<Action> {
+        let which = asked.which();
+        self.wait(request, Waiting::Machines(request, asked), |tag| Action::Machines { tag, which })
+    }
+
+    /// Lets a request wait for what `action` brings.
+    fn wait(&mut self, request: OpId, waiting: Waiting, action: impl FnOnce(u64) -> Action) -> Vec<Action> {
         if self.waiting.len() >= self.settings.max_waiting {
             return vec![send(request, Reply::error(429, "too many requests wait here; come back"))];
         }
         let tag = self.tag();
         self.waiting.insert(tag, waiting);
-        vec![Action::Read { tag }]
+        vec![action(tag)]
     }
 
     /// The job of a request's body, and the index that it enforces.
@@ -327,6 +342,8 @@
                     .collect();
                 Reply::json(200, Some(1), &names.into())
             }
+            // Read from the state service when asked for, so not among what this node has a copy of.
+            Ask::Nodes | Ask::Node(_) => missing(),
             Ask::Leader => {
                 let known = view.leads.map(|_| view.settings.api_addr.to_string()).unwrap_or_default();
                 Reply::json(200, None, &json!(known))
@@ -486,6 +503,10 @@
                 self.jobs_changed(view, ids);
                 Vec::new()
             }
+            Input::Machines { tag, found } => match self.waiting.remove(&tag) {
+                Some(Waiting::Machines(request, asked)) => vec![send(request, machines::told(&asked, found))],
+                _ => Vec::new(),
+            },
             Input::Read { tag, fresh } => match (self.waiting.remove(&tag), fresh) {
                 (Some(Waiting::Ask(request, asked)), true) => self.ask(view, request, asked),
                 (Some(Waiting::Write(write)), true) => self.decide(view, write),
--- a/crates/nomad/src/door/requests.rs
+++ b/crates/nomad/src/door/requests.rs
@@ -32,6 +32,8 @@
     AllAllocations,
     AllDeployments,
     Namespaces,
+    Nodes,
+    Node(String),
     Leader,
     Peers,
     Regions,
@@ -217,9 +219,9 @@
         ["regions"] => ask(Ask::Regions),
         ["agent", "self"] => ask(Ask::Agent),
         ["agent", "health"] => ask(Ask::Health),
-        ["nodes"] | ["node", ..] => {
-            absent("list of machines here; they come and go with the work: see /operator/metrics")
-        }
+        ["nodes"] => ask(Ask::Nodes),
+        ["node", id] => ask(Ask::Node((*id).into())),
+        ["node", ..] => absent("draining or purging of machines here; they come and go with the work"),
         ["event", "stream"] => absent("event stream; use blocking queries (`index` and `wait`)"),
         ["acl", ..] => absent("tokens to give out here; the operators' file has them"),
         ["vars" | "var", ..] => absent("variables"),
--- /dev/null
+++ b/crates/nomad/src/door/tests/machines.rs
@@ -0,0 +1,87 @@
+//! Machines as the door lists them: what the ledger has durably, at any node.
+
+use super::{call, door, job};
+use crate::door::machines::{Asked, told};
+use crate::door::requests::{Ask, Page, Query};
+use pearford_scheduler::feature::{MachinePage, Verb};
+use pearford_scheduler::ledger::MachineRecord;
+use pearford_scheduler::world::World;
+use serde_json::{Value, json};
+
+fn ask(w: &mut World, node: usize, path: &str, query: &str) -> (u16, Value, Option<u32>) {
+    w.answers.clear();
+    w.call(node, 9, call(Verb::Get, path, query, &Value::Null));
+    let until = w.now + 900;
+    w.run_until(until);
+    let answer = w.answers.first().expect("an answer");
+    (answer.status, serde_json::from_str(&answer.body).unwrap_or_default(), answer.retry_after_s)
+}
+
+#[test]
+fn every_node_lists_the_machines_that_hold_tasks_and_what_they_hold() {
+    let mut w = World::new(5).with_feature(door);
+    w.run_until(6_000);
+    let service = json!({"Job": job("a", "red", "service", 2, 0)});
+    w.call(0, 1, call(Verb::Post, "/v1/jobs", "namespace=red", &service));
+    w.run_until(30_000);
+    let mut held: Vec<String> =
+        w.workers.iter().flat_map(|m| &m.tasks).filter(|t| t.present()).map(|t| t.name.clone()).collect();
+    held.sort();
+    assert_eq!(held.len(), 2, "both replicas run");
+    for node in 0..3 {
+        let (status, nodes, _) = ask(&mut w, node, "/v1/nodes", "");
+        let nodes = nodes.as_array().expect("a list").clone();
+        assert_eq!(status, 200);
+        let mut seen: Vec<String> = Vec::new();
+        for n in &nodes {
+            let id = n["ID"].as_str().expect("an id");
+            let machine = w.workers.iter().find(|m| m.id.as_str() == id).expect("a machine that there is");
+            assert_eq!(
+                (&n["Datacenter"], &n["NodeClass"]),
+                (&json!(machine.zone), &json!(machine.type_name))
+            );
+            let (status, one, _) = ask(&mut w, node, &format!("/v1/node/{id}"), "");
+            assert_eq!(status, 200);
+            seen.extend(
+                one["Tasks"].as_array().expect("tasks").iter().filter_map(Value::as_str).map(String::from),
+            );
+        }
+        seen.sort();
+        assert_eq!(seen, held);
+        let (_, page, _) = ask(&mut w, node, "/v1/nodes", "per_page=1");
+        assert_eq!(page.as_array().map(Vec::len), Some(1.min(nodes.len())));
+    }
+    for unknown in ["m-999999", "..", "a%20b", "a%3Fb", "%2F", "-"] {
+        assert_eq!(ask(&mut w, 0, &format!("/v1/node/{unknown}"), "").0, 404, "{unknown}");
+    }
+}
+
+/// Each read may bring half a megabyte of records to a small node.
+#[test]
+fn machines_are_read_a_few_times_a_second_at_most() {
+    let mut w = World::new(5).with_feature(door);
+    w.run_until(6_000);
+    for tag in 0..50 {
+        w.call(0, tag, call(Verb::Get, "/v1/nodes", "", &Value::Null));
+    }
+    w.run_until(7_000);
+    let refused = w.answers.iter().filter(|a| a.status == 429 && a.retry_after_s.is_some()).count();
+    assert_eq!(w.answers.len(), 50);
+    assert!((46..50).contains(&refused), "{refused}");
+}
+
+#[test]
+fn what_machines_hold_is_shown_only_to_who_may_see_all_teams() {
+    let record: MachineRecord = serde_json::from_str(
+        r#"{"f":"g8","z":"z0","s":true,"a":"10.0.0.9:9000","t":[[{"job":"req-1","index":0},7,"red",{"cpus":1,"gpus":1,"memory_gb":1}]]}"#,
+    )
+    .expect("a record");
+    let page = Page::of(&Query::default()).expect("valid");
+    for all in [false, true] {
+        let asked = Asked::of(&Ask::Node("m-1".into()), &page, all).expect("about machines");
+        let found = MachinePage { machines: vec![("m-1".into(), record.clone())], more: false };
+        let body: Value = serde_json::from_str(&told(&asked, Ok(found)).body).expect("JSON");
+        assert_eq!(body["Address"], "10.0.0.9");
+        assert_eq!(body.get("Tasks").is_some(), all);
+    }
+}
--- a/crates/nomad/src/door/tests/mod.rs
+++ b/crates/nomad/src/door/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod histories;
 mod hostile;
+mod machines;
 mod placements;
 mod rolls;
 
--- a/crates/scheduler/src/feature/mod.rs
+++ b/crates/scheduler/src/feature/mod.rs
@@ -7,8 +7,9 @@
 pub use records::Records;
 
 use crate::jobs::{Admission, Mirror};
+use crate::ledger::MachineRecord;
 use crate::settings::Settings;
-use crate::types::{Fence, JobId, NodeName, OpId, Room, TeamName, Time, Wall};
+use crate::types::{Fence, JobId, MachineId, NodeName, OpId, Room, TeamName, Time, Wall};
 use crate::wire::state::Change;
 
 /// What a node and a feature have in common for a step.
@@ -90,6 +91,27 @@
         tag: u64,
         fresh: bool,
     },
+    /// Machines that it asked for.
+    Machines {
+        tag: u64,
+        found: Result<MachinePage, Outcome>,
+    },
+}
+
+/// Machines by the ledger's records: those that hold tasks, or have held some lately.
+#[derive(Debug, Clone, Default)]
+pub struct MachinePage {
+    /// In the order of their names.
+    pub machines: Vec<(MachineId, MachineRecord)>,
+    /// Whether there are more after the last.
+    pub more: bool,
+}
+
+/// Which machines are asked for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Machines {
+    One(MachineId),
+    Page { after: Option<MachineId>, most: u32 },
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -130,6 +152,9 @@
     Commit { tag: u64, share: Share, conditions: Vec<(String, crate::types::Stamp)>, changes: Vec<Change> },
     /// A read of the job records and its own, begun from now on.
     Read { tag: u64 },
+    /// A read of the ledger's records, which no node but the leader keeps a copy of: for operators now and
+    /// then, so at most a few a second.
+    Machines { tag: u64, which: Machines },
 }
 
 pub trait Feature: Send {
--- a/crates/scheduler/src/node/core/features.rs
+++ b/crates/scheduler/src/node/core/features.rs
@@ -1,19 +1,23 @@
 //! Features in their slots: what happens is handed to them, and what they want is done.
 
 use super::{Core, read_pause};
-use crate::feature::{Action, Call, Feature, Input, Outcome, Records, Share, View};
+use crate::feature::{Action, Call, Feature, Input, MachinePage, Machines, Outcome, Records, Share, View};
 use crate::jobs;
 use crate::leader;
+use crate::ledger;
 use crate::node::Effect;
 use crate::node::follower::Follower;
 use crate::node::outbox::{Pending, Read, Whose};
-use crate::types::{JobId, OpId, Span, Stamp, Time};
-use crate::wire::state::{Change, StateReply, StateRequest};
+use crate::store::Budget;
+use crate::types::{JobId, MachineId, OpId, Span, Stamp, Time};
+use crate::wire::state::{Change, Pair, StateReply, StateRequest};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 /// How long a feature waits for a read that it asked for.
 const READ_PATIENCE: Span = Span::ms(1500);
+/// Reads of machines' records a second that a feature has: each may bring half a megabyte.
+const MACHINE_READS: f64 = 2.0;
 
 pub(super) struct Slot {
     /// Out of its place while it takes a step.
@@ -21,6 +25,7 @@
     records: Records,
     follower: Follower,
     reads: Vec<Asked>,
+    machine_reads: Budget,
     /// Of its own, so that the core's draws are the same with and without it.
     rng: StdRng,
 }
@@ -40,7 +45,8 @@
         let follower = Follower::new(whose, feature.prefix(), read_pause(&self.settings));
         let rng = StdRng::seed_from_u64(self.features.len() as u64);
         let (records, reads) = (Records::default(), Vec::new());
-        self.features.push(Slot { feature: Some(feature), records, follower, reads, rng });
+        let machine_reads = Budget::new(MACHINE_READS);
+        self.features.push(Slot { feature: Some(feature), records, follower, reads, machine_reads, rng });
         self
     }
 
@@ -182,6 +188,7 @@
                     let (own, jobs) = (self.features[slot].follower.begun(), self.follower.begun());
                     self.features[slot].reads.push(Asked { tag, at: self.now, own, jobs });
                 }
+                Action::Machines { tag, which } => self.read_machines(slot, tag, which),
                 Action::Commit { tag, share, conditions, changes } => {
                     self.commit_for(slot, tag, share, conditions, changes);
                 }
@@ -189,6 +196,40 @@
         }
     }
 
+    fn read_machines(&mut self, slot: usize, tag: u64, which: Machines) {
+        if !self.features[slot].machine_reads.take(1.0, self.now) {
+            return self.hand(slot, Input::Machines { tag, found: Err(Outcome::NoBudget) });
+        }
+        let request = match which {
+            Machines::One(id) => StateRequest::Get { key: ledger::key(&id) },
+            Machines::Page { after, most } => {
+                StateRequest::Range { prefix: ledger::PREFIX, after: after.map(|id| ledger::key(&id)), most }
+            }
+        };
+        self.out.ask_state(request, Pending::Machines { slot, tag });
+    }
+
+    pub(super) fn feature_machines(&mut self, slot: usize, tag: u64, reply: StateReply) {
+        let read = |pair: &Pair| match serde_json::from_str(&pair.value) {
+            Ok(record) => Some((MachineId::from(pair.key.strip_prefix(ledger::PREFIX)?), record)),
+            Err(error) => {
+                tracing::error!(key = pair.key, %error, "a machine's record can't be read");
+                None
+            }
+        };
+        let found = match reply {
+            StateReply::Found(pair) => {
+                Ok(MachinePage { machines: read(&pair).into_iter().collect(), more: false })
+            }
+            StateReply::Missing { .. } => Ok(MachinePage::default()),
+            StateReply::Pairs { pairs, more, .. } => {
+                Ok(MachinePage { machines: pairs.iter().filter_map(read).collect(), more })
+            }
+            _ => Err(Outcome::Unknown),
+        };
+        self.hand(slot, Input::Machines { tag, found });
+    }
+
     fn commit_for(
         &mut self,
         slot: usize,
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -331,6 +331,7 @@
             Some(Pending::Feature { slot, tag, changes }) => {
                 self.feature_committed(slot, tag, changes, reply)
             }
+            Some(Pending::Machines { slot, tag }) => self.feature_machines(slot, tag, reply),
             Some(Pending::Follow(Whose::Jobs, read)) => {
                 let turn = self.follower.reply(
                     self.now,
--- a/crates/scheduler/src/node/outbox.rs
+++ b/crates/scheduler/src/node/outbox.rs
@@ -36,6 +36,11 @@
         tag: u64,
         changes: Vec<Change>,
     },
+    /// Machines that a feature asked for.
+    Machines {
+        slot: usize,
+        tag: u64,
+    },
     /// The leader's own, void when its fence has passed.
     Leader(Fence, LeaderOp),
 }
