--- a/crates/scheduler/src/node/master/rounds.rs
+++ b/crates/scheduler/src/node/master/rounds.rs
@@ -2,6 +2,14 @@
 
 use super::*;
 
+/// What an ask of the look under way counts on in its controller's block.
+struct Claim {
+    node: NodeName,
+    ask: TaskAsk,
+    /// Places that the block has for it beyond what it needs.
+    spare: u32,
+}
+
 /// Part of the time a gang's task waits for the others from which on their fetch is slow.
 const SLOW_FETCH: f64 = 0.4;
 const PREEMPTIONS_AT_ONCE: usize = 2;
@@ -120,6 +128,7 @@
         }
         let mut views = self.open_views(&asks, now);
         let mut by_node: BTreeMap<NodeName, Vec<TaskAsk>> = BTreeMap::new();
+        let mut claims: Vec<Claim> = Vec::new();
         let mut scans = PREEMPTIONS_AT_ONCE;
         for mut ask in asks {
             let Some(run) = self.runs.get_mut(&ask.job) else { continue };
@@ -138,7 +147,7 @@
                 }
             }
             // What fits nowhere is not offered: a round's answer would only say the same.
-            if !self.make_fit(&home, &ask, &views) {
+            if !self.make_fit(&home, &ask, &views, &mut claims) {
                 if scans > 0 {
                     scans -= usize::from(self.preempt(&ask, now));
                 }
@@ -337,7 +346,16 @@
 
     /// Whether the work fits its controller's block, if need be after moving machines there that
     /// fit it from blocks without a round under way. If not, it waits.
-    fn make_fit(&mut self, node: &NodeName, ask: &TaskAsk, views: &[MachineView]) -> bool {
+    ///
+    /// What an earlier ask of the same look, a more urgent one, counts on stays where it is: a scarce machine
+    /// used to go from block to block, and the least urgent ask had it in the end (inc-2777).
+    fn make_fit(
+        &mut self,
+        node: &NodeName,
+        ask: &TaskAsk,
+        views: &[MachineView],
+        claims: &mut Vec<Claim>,
+    ) -> bool {
         // A gang needs room for all its tasks at once.
         let gang = ask.shape == Shape::Gang;
         let need = if gang { ask.tasks.len() as u32 } else { 1 };
@@ -347,8 +365,8 @@
             let slots = v.free.count_of(&ask.room);
             match self.blocks.owner(&v.id) {
                 Some(owner) if owner == node => *own.entry(&v.zone).or_default() += slots,
-                Some(owner) if self.offers.contains_key(owner) => continue,
-                _ => found.push((&v.zone, &v.id)),
+                Some(owner) if self.offers.contains_key(owner) || claimed(claims, owner, v) => continue,
+                _ => found.push(v),
             }
             *all.entry(&v.zone).or_default() += slots;
         }
@@ -358,26 +376,46 @@
             let in_zone = slots.iter().map(|(z, n)| (*n).min(cap(z)));
             if gang && ask.together { in_zone.max().unwrap_or(0) } else { in_zone.sum() }
         };
-        if room(&own) >= need {
-            return true;
-        }
-        let version = self.room_version;
-        let Some(run) = self.runs.get_mut(&ask.job) else { return false };
-        if room(&all) < need {
-            run.tried = version;
-            run.why = "no machine has room for it";
-            return false;
+        let mut places: u32 = own.values().sum();
+        if room(&own) < need {
+            let version = self.room_version;
+            let Some(run) = self.runs.get_mut(&ask.job) else { return false };
+            if room(&all) < need {
+                run.tried = version;
+                run.why = "no machine has room for it";
+                return false;
+            }
+            run.why = "machines move to its controller's block";
+            let best = all.iter().max_by_key(|(_, n)| **n).map(|(z, _)| *z);
+            let wanted = if gang { usize::MAX } else { ask.tasks.len() };
+            let fits = |zone: &Zone| !(gang && ask.together) || best == Some(zone);
+            let mut moved = 0;
+            for v in found.iter().filter(|v| fits(&v.zone)) {
+                // Each that goes may leave the next one claimed.
+                let owner = self.blocks.owner(&v.id).cloned();
+                if moved >= wanted || owner.as_ref().is_some_and(|owner| claimed(claims, owner, v)) {
+                    continue;
+                }
+                for claim in claims.iter_mut().filter(|c| Some(&c.node) == owner.as_ref()) {
+                    claim.spare -= if claim.ask.allows(v) { v.free.count_of(&claim.ask.room) } else { 0 };
+                }
+                places += v.free.count_of(&ask.room);
+                self.blocks.give(node, [v.id.clone()]);
+                moved += 1;
+            }
         }
-        run.why = "machines move to its controller's block";
-        let best = all.iter().max_by_key(|(_, n)| **n).map(|(z, _)| *z);
-        let wanted = if gang { usize::MAX } else { ask.tasks.len() };
-        let fits = |zone: &&Zone| !(gang && ask.together) || best == Some(zone);
-        let moves = found.iter().filter(|(z, _)| fits(z)).map(|(_, id)| (*id).clone()).take(wanted);
-        self.blocks.give(node, moves);
+        let spare = places.saturating_sub(ask.tasks.len() as u32);
+        claims.push(Claim { node: node.clone(), ask: ask.clone(), spare });
         true
     }
 }
 
+/// Whether an earlier ask of `owner`'s has no more places than it needs without this machine.
+fn claimed(claims: &[Claim], owner: &NodeName, v: &MachineView) -> bool {
+    let its = claims.iter().filter(|c| c.node == *owner && c.ask.allows(v));
+    its.into_iter().any(|c| c.spare < v.free.count_of(&c.ask.room))
+}
+
 fn ask_for(id: &JobId, spec: &JobSpec, tasks: Vec<u32>, zones: Vec<(Zone, u32)>) -> TaskAsk {
     TaskAsk {
         job: id.clone(),
@@ -393,3 +431,78 @@
         image_gb: spec.image_gb,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::stock::tests::{master, report};
+    use super::*;
+
+    /// A master with machines that hold one GPU task each, and nodes n0 (itself), n1 and n2.
+    fn fleet(machines: usize) -> (Master, BTreeSet<NodeName>, NodeName, Time) {
+        let (mut m, now) = (master(), Time::from_ms(1_000));
+        for i in 0..machines {
+            let id = format!("m-{i}");
+            m.take_report(&report(&id, "z0", 1), now);
+            let m = m.machines.get_mut(&MachineId::from(id.as_str())).expect("there");
+            m.total = Room { cpus: 4.0, gpus: 1.0, memory_gb: 8.0 };
+        }
+        for i in 0..machines {
+            m.recount(&MachineId::from(format!("m-{i}").as_str()), now);
+        }
+        m.settings = {
+            let mut s = (*m.settings).clone();
+            s.zones = vec!["z0".into()];
+            Arc::new(s)
+        };
+        let nodes = ["n0", "n1", "n2"].map(NodeName::from);
+        (m, nodes.iter().cloned().collect(), nodes[0].clone(), now)
+    }
+
+    fn job(m: &mut Master, id: &str, home: &str, priority: Priority, tasks: u32, now: Time) {
+        let mut spec = jobs::tests::spec();
+        (spec.priority, spec.tasks, spec.types, spec.zone) = (priority, tasks, None, None);
+        spec.room = Room { cpus: 1.0, gpus: 1.0, memory_gb: 1.0 };
+        let team = m.settings.teams.keys().next().expect("a team").clone();
+        spec.team = team;
+        let job = jobs::OpenJob { spec, submitted: crate::types::Wall(1), home: home.into() };
+        m.runs.insert(id.into(), Run::new(Arc::new(job), now));
+    }
+
+    /// Which job's round has each machine.
+    fn offered(rounds: &[(NodeName, u64, Vec<MachineView>, Vec<TaskAsk>)]) -> Vec<(String, usize)> {
+        let of = |(_, _, machines, asks): &(NodeName, u64, Vec<MachineView>, Vec<TaskAsk>)| {
+            (asks[0].job.to_string(), machines.len())
+        };
+        rounds.iter().map(of).collect()
+    }
+
+    /// The one machine with room went from block to block within a look, and the least urgent ask had it:
+    /// replicas stopped array tasks twice a second for half a minute, and array tasks took the room (inc-2777).
+    #[test]
+    fn a_scarce_machine_goes_to_the_most_urgent_ask_of_a_look() {
+        for homes in [["n0", "n1", "n2"], ["n2", "n1", "n0"], ["n1", "n0", "n2"]] {
+            let (mut m, live, me, now) = fleet(1);
+            for (i, home) in homes.iter().enumerate() {
+                let priority = [Priority::Production, Priority::Normal, Priority::Low][i];
+                job(&mut m, &format!("req-{i}"), home, priority, 1, now);
+            }
+            let rounds = m.build_rounds(&live, &me, now);
+            assert_eq!(offered(&rounds), [("req-0".to_string(), 1)], "{homes:?}");
+        }
+    }
+
+    /// What an urgent ask doesn't need goes on to others in the same look.
+    #[test]
+    fn machines_beyond_what_urgent_asks_need_still_move() {
+        let (mut m, live, me, now) = fleet(6);
+        job(&mut m, "req-0", "n1", Priority::Production, 2, now);
+        job(&mut m, "req-1", "n2", Priority::Low, 9, now);
+        m.build_rounds(&live, &me, now); // cuts the blocks
+        m.runs.values_mut().for_each(|r| r.offered = 0);
+        let all: Vec<MachineId> = m.machines.keys().cloned().collect();
+        m.blocks.give(&"n1".into(), all);
+        let mut offered = offered(&m.build_rounds(&live, &me, now));
+        offered.sort();
+        assert_eq!(offered, [("req-0".to_string(), 2), ("req-1".to_string(), 4)]);
+    }
+}
