Machines that die together are given up at once where others of their zone are heard

Ruled out: lost questions, slow returns (the log says when each machine is given up).

Change: a zone is cut off if over a third is silent and nobody there was heard for 2 s, or over two thirds are.

--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -7,8 +7,11 @@
 const PROBE_AFTER_REPORTS: f64 = 1.35;
 /// Questions in a row without an answer after which a worker counts as lost.
 const PROBES_LOST: u32 = 2;
-/// Part of a zone's machines that, silent together, are cut off rather than lost.
+/// Part of a zone's machines that, silent together, are cut off rather than lost: if nobody else there has
+/// been heard for a while either, or if it is most of them.
 const ZONE_SILENT: f64 = 0.34;
+const ZONE_QUIET: Span = Span::ms(2000);
+const ZONE_MOSTLY: f64 = 0.67;
 /// A cut-off worker kills its tasks when its lease ends; shortly before, waiting gains no more.
 const LEASE_MARGIN_S: f64 = 2.0;
 /// Jobs that have to fail on a machine, with none done between, before it counts as faulty.
@@ -18,6 +21,26 @@
 /// While most machines are silent, none is given up for this many report intervals.
 const SUSPECT_REPORTS: f64 = 4.0;
 
+/// How a zone's machines are heard.
+#[derive(Debug, Default)]
+struct ZoneSilence {
+    all: u32,
+    silent: u32,
+    /// The newest report of any.
+    newest: Time,
+}
+
+impl ZoneSilence {
+    /// A zone that is cut off goes on working inside until its workers' leases end: returning its machines
+    /// before would only stop what runs. But of a zone where many have died the rest is heard, and what ran on
+    /// the dead must start elsewhere at once: 82 machines that died together were taken for a cut zone, and
+    /// their replicas were down for 20 s (tremorline fleet, loss).
+    fn is_cut(&self, now: Time) -> bool {
+        let share = f64::from(self.silent) / f64::from(self.all.max(1));
+        self.silent > 2 && share > ZONE_SILENT && (share > ZONE_MOSTLY || now.since(self.newest) > ZONE_QUIET)
+    }
+}
+
 impl Master {
     // ---- watching the fleet ----
 
@@ -90,19 +113,15 @@
         let report = Span::secs(self.settings.workers.report_s);
         let suspect = self.silent_since.is_some_and(|at| now.since(at) < report.times(SUSPECT_REPORTS));
         let late = report.times(PROBE_AFTER_REPORTS);
-        let mut zones: BTreeMap<&Zone, (u32, u32)> = BTreeMap::new();
+        let mut zones: BTreeMap<&Zone, ZoneSilence> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.standing == Standing::Up) {
-            let (all, silent) = zones.entry(&m.zone).or_default();
-            *all += 1;
-            *silent += u32::from(m.last_report.is_some_and(|at| now.since(at) > late));
+            let zone = zones.entry(&m.zone).or_default();
+            zone.all += 1;
+            zone.silent += u32::from(m.last_report.is_some_and(|at| now.since(at) > late));
+            zone.newest = zone.newest.max(m.last_report.unwrap_or_default());
         }
-        // A zone that is cut off goes on working inside until its workers' leases end: returning its
-        // machines before would only stop what runs.
-        let cut: BTreeSet<Zone> = zones
-            .into_iter()
-            .filter(|(_, (all, silent))| *silent > 2 && f64::from(*silent) > f64::from(*all) * ZONE_SILENT)
-            .map(|(zone, _)| zone.clone())
-            .collect();
+        let cut: BTreeSet<Zone> =
+            zones.into_iter().filter(|(_, z)| z.is_cut(now)).map(|(zone, _)| zone.clone()).collect();
         let lost_after = report.times(o.lost_reports);
         let lease_ends = Span::secs(self.settings.workers.lease_s - LEASE_MARGIN_S);
         for m in self.machines.values_mut() {
@@ -452,6 +471,35 @@
         assert_eq!(lost(&m).len(), 4);
     }
 
+    /// Machines that died together passed for a zone that is cut off, though the others there were heard.
+    #[test]
+    fn many_that_die_in_a_zone_whose_others_are_heard_are_given_up_at_once() {
+        let mut m = fleet(&["z0"; 10]);
+        let interval = (m.settings.workers.report_s * 1000.0) as u64;
+        let (mut at, mut serial) = (Time::from_ms(1_000), 1);
+        // Five are silent, five go on, one after the other.
+        while at < Time::from_ms(1_000 + interval * 2) {
+            at = at + Span::ms(interval / 5);
+            serial += 1;
+            m.take_report(&report(&format!("m-{}", 5 + serial % 5), "z0", serial), at);
+        }
+        (0..5).for_each(|i| {
+            m.machines.get_mut(&MachineId::from(format!("m-{i}").as_str())).expect("there").unanswered =
+                PROBES_LOST;
+        });
+        m.find_lost(&BTreeMap::new(), at);
+        assert_eq!(lost(&m), ["m-0", "m-1", "m-2", "m-3", "m-4"]);
+        // The same five, and nobody heard any more: it may be the zone.
+        let mut m = fleet(&["z0"; 10]);
+        (0..5).for_each(|i| {
+            m.machines.get_mut(&MachineId::from(format!("m-{i}").as_str())).expect("there").unanswered =
+                PROBES_LOST;
+        });
+        let at = Time::from_ms(1_000 + interval * 2);
+        m.find_lost(&BTreeMap::new(), at);
+        assert!(lost(&m).is_empty());
+    }
+
     /// Faulty machines stand empty and so drew task after task; jobs that fail everywhere must not
     /// make good machines look faulty.
     #[test]
