--- /dev/null
+++ b/crates/homes/src/delegate.rs
@@ -0,0 +1,389 @@
+//! Every node's part: whose reports it answers, and what it tells the leader of them.
+
+use crate::messages::{Delegation, Digest, Full, Same, Stamped};
+use crate::{Homes, content_hash};
+use pearford_types::{Fence, MachineId, NodeName, Span, Time, Zone};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How old the last delegation may be for the leader to count as reachable from here.
+const FRESH: Span = Span::ms(3000);
+/// A worker that comes back within this, after it was sent elsewhere, is answered: it found nobody there.
+const COMES_BACK: Span = Span::ms(30_000);
+/// How long what has changed waits for more of it, and what is the same as before.
+const CHANGED_EVERY: Span = Span::ms(100);
+const SAME_EVERY: Span = Span::ms(500);
+/// Bytes of content in one digest; what is more goes with the next.
+const DIGEST_BYTES: usize = 128 * 1024;
+/// Workers sent home in a second: moved a few at a time, never all at once.
+const MOVES_A_SECOND: u32 = 60;
+/// What was heard longer ago than this is not told to a new leader: the machine may have moved on.
+const REMEMBERED: Span = Span::ms(15_000);
+
+/// Guards that tests take out, to prove that what checks them can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Guard {
+    /// A worker that has seen a higher fence is not answered by a lower one.
+    OlderFence,
+    /// Answers end with this node's own look at the job records.
+    OwnLook,
+}
+
+/// A report, as far as it matters whose it is to answer.
+#[derive(Debug)]
+pub struct Ask<'a> {
+    pub machine: &'a MachineId,
+    pub zone: &'a Zone,
+    pub at: Stamped,
+    pub content: Vec<u8>,
+}
+
+/// What becomes of a report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Turn {
+    /// Answered with 200 by this fence.
+    Answer(Fence),
+    /// Sent to the node that is its home.
+    Home(NodeName),
+    /// Sent on to whichever node comes next.
+    On,
+    /// This node has no delegation: as if there were none anywhere.
+    NotOurs,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    leader: NodeName,
+    fence: Fence,
+    beat: u64,
+    at: Time,
+    ready: bool,
+    homes: Homes,
+}
+
+#[derive(Debug, Clone)]
+struct Report {
+    at: Stamped,
+    heard: Time,
+    content: Vec<u8>,
+    hash: u64,
+}
+
+/// When a worker was sent elsewhere, and the newest delegation by then.
+#[derive(Debug, Clone, Copy)]
+struct SentOn {
+    at: Time,
+    delegated: Time,
+}
+
+#[derive(Debug, Clone)]
+pub struct Delegate {
+    me: NodeName,
+    held: Option<Held>,
+    /// The leader that all reports have been told in full.
+    told: Fence,
+    heard: BTreeMap<MachineId, Report>,
+    /// To be told in full, and to be told as the same as before.
+    changed: BTreeSet<MachineId>,
+    same: BTreeSet<MachineId>,
+    sent_on: BTreeMap<MachineId, SentOn>,
+    moves: (Time, u32),
+    next_changed: Time,
+    next_same: Time,
+    next_prune: Time,
+    out: Option<Guard>,
+}
+
+impl Delegate {
+    pub fn new(me: NodeName) -> Self {
+        Self {
+            me,
+            held: None,
+            told: Fence(0),
+            heard: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            same: BTreeSet::new(),
+            sent_on: BTreeMap::new(),
+            moves: (Time::default(), 0),
+            next_changed: Time::default(),
+            next_same: Time::default(),
+            next_prune: Time::default(),
+            out: None,
+        }
+    }
+
+    /// Takes a guard out, for tests.
+    pub fn take_out(&mut self, guard: Guard) {
+        self.out = Some(guard);
+    }
+
+    /// The fence that it answers by.
+    pub fn fence(&self) -> Option<Fence> {
+        self.held.as_ref().map(|h| h.fence)
+    }
+
+    /// Workers whose reports it has answered lately.
+    pub fn len(&self) -> usize {
+        self.heard.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
+    }
+
+    /// This node leads now: it answers in its own right. What it has heard as a delegate is for itself.
+    pub fn leads(&mut self, now: Time) -> Vec<Full> {
+        self.held = None;
+        self.changed.clear();
+        self.same.clear();
+        let heard = std::mem::take(&mut self.heard);
+        heard
+            .into_iter()
+            .filter(|(_, r)| now.since(r.heard) < REMEMBERED)
+            .map(|(machine, r)| Full { machine, at: r.at, age: now.since(r.heard), content: r.content })
+            .collect()
+    }
+
+    /// A leader delegates. An older leader's word, however late, changes nothing.
+    pub fn granted(&mut self, from: &NodeName, delegation: Delegation, now: Time) {
+        let Delegation { fence, beat, ready, homes } = delegation;
+        if self.held.as_ref().is_some_and(|h| (fence, beat) <= (h.fence, h.beat)) {
+            return;
+        }
+        if ready && self.told < fence {
+            // A new leader knows nothing yet: what each node has heard spares it a rush of every worker.
+            self.told = fence;
+            self.heard.retain(|_, r| now.since(r.heard) < REMEMBERED);
+            self.changed = self.heard.keys().cloned().collect();
+            self.same.clear();
+            self.next_changed = now;
+        }
+        self.held = Some(Held { leader: from.clone(), fence, beat, at: now, ready, homes });
+    }
+
+    /// The leader lacks what these machines last said.
+    pub fn wanted(&mut self, machines: Vec<MachineId>) {
+        self.changed.extend(machines.into_iter().filter(|m| self.heard.contains_key(m)));
+    }
+
+    /// Whether the leader counts as reachable from here.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.held.as_ref().is_some_and(|h| now.since(h.at) < FRESH)
+    }
+
+    /// Takes a report. `top`: the highest fence that this node knows of. `may_renew`: its own last look at the
+    /// job records allows it to renew leases.
+    pub fn report(&mut self, ask: Ask<'_>, top: Fence, may_renew: bool, now: Time) -> Turn {
+        let Some(held) = &self.held else { return Turn::NotOurs };
+        // A worker drops an answer by a lower fence than it has seen, and stays here while its lease runs out.
+        // (The second is the same guard: whoever has seen a higher one says so with its next report.)
+        let older = held.fence < ask.at.fence || held.fence < top;
+        if older && self.out != Some(Guard::OlderFence) {
+            return Turn::NotOurs;
+        }
+        // A withdrawal that no node inside a cut can see was told after the look; see the design's "Outages".
+        if !may_renew && self.out != Some(Guard::OwnLook) {
+            return Turn::On;
+        }
+        let fence = held.fence;
+        if let Some(turn) = self.elsewhere(ask.machine, ask.zone, now) {
+            return turn;
+        }
+        self.heard(ask, now);
+        Turn::Answer(fence)
+    }
+
+    /// Where a worker is sent instead of being answered here, if it is.
+    pub(crate) fn elsewhere(&mut self, machine: &MachineId, zone: &Zone, now: Time) -> Option<Turn> {
+        let held = self.held.as_ref()?;
+        let fresh = now.since(held.at) < FRESH;
+        let home = held.homes.home_of(machine, zone).filter(|home| fresh && **home != self.me).cloned();
+        if (fresh && home.is_none()) || self.came_back(machine, held.at, now) {
+            return None;
+        }
+        let turn = match home {
+            Some(_) if !self.may_move(now) => return None,
+            Some(home) => Turn::Home(home),
+            // The leader may be reached from elsewhere. Whoever finds that it isn't comes back.
+            None => Turn::On,
+        };
+        self.send_on(machine, now);
+        Some(turn)
+    }
+
+    fn came_back(&self, machine: &MachineId, delegated: Time, now: Time) -> bool {
+        self.sent_on.get(machine).is_some_and(|s| s.delegated == delegated || now.since(s.at) < COMES_BACK)
+    }
+
+    fn send_on(&mut self, machine: &MachineId, now: Time) {
+        let delegated = self.held.as_ref().map_or(now, |h| h.at);
+        // While delegations come, the next one must not look like a new beginning.
+        let delegated = if now.since(delegated) < FRESH { Time::default() } else { delegated };
+        self.sent_on.insert(machine.clone(), SentOn { at: now, delegated });
+        // What it says next elsewhere is not known here.
+        self.heard.remove(machine);
+        self.changed.remove(machine);
+        self.same.remove(machine);
+    }
+
+    fn may_move(&mut self, now: Time) -> bool {
+        if now.since(self.moves.0) >= Span::ms(1000) {
+            self.moves = (now, 0);
+        }
+        self.moves.1 += 1;
+        self.moves.1 <= MOVES_A_SECOND
+    }
+
+    fn heard(&mut self, ask: Ask<'_>, now: Time) {
+        let hash = content_hash(&ask.content);
+        let known = self.heard.get(ask.machine);
+        if known.is_some_and(|k| !ask.at.is_newer(&k.at)) {
+            return; // an old one, that came late
+        }
+        let like =
+            |k: &Report| k.hash == hash && (k.at.session, k.at.fence) == (ask.at.session, ask.at.fence);
+        if known.is_some_and(like) && !self.changed.contains(ask.machine) {
+            self.same.insert(ask.machine.clone());
+        } else {
+            self.same.remove(ask.machine);
+            self.changed.insert(ask.machine.clone());
+        }
+        let report = Report { at: ask.at, heard: now, content: ask.content, hash };
+        self.heard.insert(ask.machine.clone(), report);
+    }
+
+    /// What the leader is to be told now, and which node that is.
+    pub fn digest(&mut self, now: Time) -> Option<(NodeName, Digest)> {
+        self.prune(now);
+        let held = self.held.as_ref().filter(|h| h.ready)?;
+        let changed = !self.changed.is_empty() && now >= self.next_changed;
+        let same = now >= self.next_same;
+        if !changed && !same {
+            return None;
+        }
+        self.next_changed = now + CHANGED_EVERY;
+        let mut digest = Digest { fence: held.fence, beat: held.beat, full: Vec::new(), same: Vec::new() };
+        let mut bytes = 0;
+        while bytes < DIGEST_BYTES
+            && let Some(machine) = self.changed.pop_first()
+        {
+            let Some(r) = self.heard.get(&machine) else { continue };
+            bytes += r.content.len();
+            let (age, content) = (now.since(r.heard), r.content.clone());
+            digest.full.push(Full { machine, at: r.at, age, content });
+        }
+        if same {
+            self.next_same = now + SAME_EVERY;
+            for machine in std::mem::take(&mut self.same) {
+                let Some(r) = self.heard.get(&machine) else { continue };
+                digest.same.push(Same { machine, at: r.at, age: now.since(r.heard), hash: r.hash });
+            }
+        }
+        Some((held.leader.clone(), digest))
+    }
+
+    /// Forgets machines that have not been heard for long, here or after they were sent elsewhere.
+    pub(crate) fn prune(&mut self, now: Time) {
+        if now < self.next_prune {
+            return;
+        }
+        self.next_prune = now + Span::ms(5000);
+        self.heard.retain(|_, r| now.since(r.heard) < COMES_BACK);
+        let delegated = self.held.as_ref().map(|h| h.at);
+        self.sent_on.retain(|_, s| now.since(s.at) < COMES_BACK || Some(s.delegated) == delegated);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Place;
+    use pearford_types::Session;
+
+    fn delegation(fence: u64, beat: u64, home: &str) -> Delegation {
+        let place = Place { node: home.into(), zone: "z".into(), weight: 100 };
+        Delegation { fence: Fence(fence), beat, ready: true, homes: Homes::new(vec![place]) }
+    }
+
+    fn report(d: &mut Delegate, serial: u64, fence: u64, content: &str, top: u64, now: Time) -> Turn {
+        let at = Stamped { session: Session(1), serial, fence: Fence(fence) };
+        let (machine, zone) = ("m".into(), "z".into());
+        let ask = Ask { machine: &machine, zone: &zone, at, content: content.as_bytes().to_vec() };
+        d.report(ask, Fence(top), true, now)
+    }
+
+    const T: fn(u64) -> Time = Time::from_ms;
+
+    /// The worker would drop the 200 and stay there while its lease runs out.
+    #[test]
+    fn a_worker_is_never_answered_by_a_lower_fence_than_it_has_seen() {
+        let mut d = Delegate::new("a".into());
+        assert_eq!(report(&mut d, 1, 0, "", 0, T(1)), Turn::NotOurs);
+        d.granted(&"l".into(), delegation(5, 1, "a"), T(1));
+        assert_eq!(report(&mut d, 1, 5, "", 5, T(2)), Turn::Answer(Fence(5)));
+        assert_eq!(report(&mut d, 2, 6, "", 5, T(3)), Turn::NotOurs, "the worker has seen a later leader");
+        assert_eq!(report(&mut d, 2, 5, "", 6, T(3)), Turn::NotOurs, "this node has heard of one");
+        d.granted(&"k".into(), delegation(6, 1, "a"), T(4));
+        d.granted(&"l".into(), delegation(5, 9, "a"), T(5));
+        assert_eq!(d.fence(), Some(Fence(6)), "held for long and late: changes nothing");
+        assert_eq!(report(&mut d, 3, 6, "", 6, T(6)), Turn::Answer(Fence(6)));
+    }
+
+    #[test]
+    fn without_the_leader_a_worker_is_sent_on_once_and_answered_when_it_comes_back() {
+        let mut d = Delegate::new("a".into());
+        d.granted(&"l".into(), delegation(5, 1, "a"), T(0));
+        assert_eq!(report(&mut d, 1, 5, "", 5, T(2_900)), Turn::Answer(Fence(5)));
+        assert_eq!(report(&mut d, 2, 5, "", 5, T(7_000)), Turn::On);
+        for k in 0..20 {
+            let now = T(17_000 + 5_000 * k);
+            assert_eq!(report(&mut d, 3 + k, 5, "", 5, now), Turn::Answer(Fence(5)), "nobody else was there");
+        }
+        d.granted(&"l".into(), delegation(5, 2, "a"), T(120_000));
+        assert_eq!(report(&mut d, 40, 5, "", 5, T(124_000)), Turn::On, "a new episode");
+    }
+
+    #[test]
+    fn a_worker_is_sent_home_and_answered_here_when_its_home_does_not_answer() {
+        let mut d = Delegate::new("a".into());
+        d.granted(&"l".into(), delegation(5, 1, "b"), T(0));
+        assert_eq!(report(&mut d, 1, 5, "", 5, T(1)), Turn::Home("b".into()));
+        assert_eq!(report(&mut d, 2, 5, "", 5, T(2_000)), Turn::Answer(Fence(5)));
+        d.granted(&"l".into(), delegation(5, 2, "b"), T(31_000));
+        assert_eq!(report(&mut d, 3, 5, "", 5, T(31_500)), Turn::Home("b".into()), "b may be back");
+    }
+
+    #[test]
+    fn digests_tell_changes_in_full_and_the_rest_by_hash() {
+        let mut d = Delegate::new("a".into());
+        d.granted(&"l".into(), delegation(5, 1, "a"), T(0));
+        report(&mut d, 1, 5, "x", 5, T(10));
+        let (to, first) = d.digest(T(20)).expect("something is new");
+        assert_eq!((to.as_str(), first.full.len(), first.same.len()), ("l", 1, 0));
+        report(&mut d, 2, 5, "x", 5, T(600));
+        let (_, second) = d.digest(T(700)).expect("due");
+        assert_eq!((second.full.len(), second.same.len()), (0, 1));
+        assert_eq!((second.same[0].at.serial, second.same[0].age), (2, Span::ms(100)));
+        assert_eq!(second.same[0].hash, content_hash(b"x"));
+        // What the leader lacks, and what a new leader doesn't know, is told in full.
+        d.wanted(vec!["m".into(), "unknown".into()]);
+        assert_eq!(d.digest(T(900)).expect("due").1.full[0].content, b"x");
+        d.granted(&"k".into(), delegation(8, 1, "a"), T(1_000));
+        let (to, all) = d.digest(T(1_001)).expect("at once");
+        assert_eq!((to.as_str(), all.full.len(), all.fence), ("k", 1, Fence(8)));
+    }
+
+    #[test]
+    fn moves_are_a_few_at_a_time() {
+        let mut d = Delegate::new("a".into());
+        d.granted(&"l".into(), delegation(5, 1, "b"), T(0));
+        let mut moved = 0;
+        for i in 0..1000u64 {
+            let (machine, zone) = (format!("m-{i}").as_str().into(), "z".into());
+            let at = Stamped { session: Session(1), serial: 1, fence: Fence(5) };
+            let ask = Ask { machine: &machine, zone: &zone, at, content: Vec::new() };
+            moved += u32::from(d.report(ask, Fence(5), true, T(10)) == Turn::Home("b".into()));
+        }
+        assert_eq!(moved, MOVES_A_SECOND);
+        assert_eq!(d.len(), 940, "the others are answered meanwhile");
+    }
+}
--- /dev/null
+++ b/crates/homes/src/hub.rs
@@ -0,0 +1,372 @@
+//! The leader's part: what digests are worth, which way a worker is reached, who is home to how many.
+
+use crate::messages::{Delegation, Digest, Full, Stamped};
+use crate::rule::{Homes, Place};
+use crate::{Delegate, Turn, content_hash};
+use pearford_types::{Fence, MachineId, NodeName, Span, Time, Zone};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const DELEGATE_EVERY: Span = Span::ms(1000);
+/// A digest that left before this delegation came is at most so much younger than the next one.
+const SLACK: Span = Span::ms(1500);
+/// Delegations whose time is remembered.
+const BEATS: usize = 128;
+/// How old a node's last digest may be for orders to go through it.
+const FRESH: Span = Span::ms(1500);
+/// Weight of a node; the leader has its rounds and commits besides.
+const WEIGHT: u16 = 100;
+const LEADERS_WEIGHT: u16 = 40;
+/// How often weights follow the numbers of machines, and by how much at a time.
+const BALANCE_EVERY: Span = Span::ms(10_000);
+const STEP: f64 = 0.8;
+/// A node with more than this many times its share gets less.
+const UNEVEN: f64 = 1.25;
+
+/// What a digest says of one machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heard {
+    pub machine: MachineId,
+    pub at: Stamped,
+    /// When the report was heard, by the leader's clock, and rather too early than too late.
+    pub heard: Time,
+    /// What it says is new; else it is what the last one said.
+    pub new: bool,
+}
+
+/// What a machine last said, and to which node.
+#[derive(Debug, Clone)]
+pub struct Known {
+    pub node: NodeName,
+    pub at: Stamped,
+    pub content: Vec<u8>,
+    hash: u64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Hub {
+    me: NodeName,
+    fence: Fence,
+    beat: u64,
+    sent: VecDeque<(u64, Time)>,
+    next: Time,
+    digests: BTreeMap<NodeName, Time>,
+    known: BTreeMap<MachineId, Known>,
+    wanted: BTreeMap<NodeName, BTreeSet<MachineId>>,
+    weights: BTreeMap<NodeName, u16>,
+    next_balance: Time,
+    /// Decides about the leader's own reports, as any node does.
+    own: Delegate,
+    #[cfg(any(test, feature = "sabotage"))]
+    trusts_all: bool,
+}
+
+impl Hub {
+    pub fn new(me: NodeName, fence: Fence, now: Time) -> Self {
+        Self {
+            own: Delegate::new(me.clone()),
+            me,
+            fence,
+            beat: 0,
+            sent: VecDeque::new(),
+            next: now,
+            digests: BTreeMap::new(),
+            known: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            weights: BTreeMap::new(),
+            next_balance: now + BALANCE_EVERY,
+            #[cfg(any(test, feature = "sabotage"))]
+            trusts_all: false,
+        }
+    }
+
+    /// Takes the guard out that a report told as the same as before is that of the same content.
+    #[cfg(any(test, feature = "sabotage"))]
+    pub fn trust_all(&mut self) {
+        self.trusts_all = true;
+    }
+
+    fn trusts(&self) -> bool {
+        #[cfg(any(test, feature = "sabotage"))]
+        return self.trusts_all;
+        #[cfg(not(any(test, feature = "sabotage")))]
+        false
+    }
+
+    /// The delegation to send to all, if one is due. `live`: the nodes that are there, this one among them, and
+    /// their zones.
+    pub fn delegation(&mut self, live: &[(NodeName, Zone)], ready: bool, now: Time) -> Option<Delegation> {
+        if now < self.next {
+            return None;
+        }
+        self.next = now + DELEGATE_EVERY;
+        self.beat += 1;
+        self.sent.push_back((self.beat, now));
+        if self.sent.len() > BEATS {
+            self.sent.pop_front();
+        }
+        self.balance(live, now);
+        let place = |(node, zone): &(NodeName, Zone)| {
+            let first = if *node == self.me { LEADERS_WEIGHT } else { WEIGHT };
+            let weight = self.weights.get(node).copied().unwrap_or(first);
+            Place { node: node.clone(), zone: zone.clone(), weight }
+        };
+        let homes = Homes::new(live.iter().map(place).collect());
+        let delegation = Delegation { fence: self.fence, beat: self.beat, ready, homes };
+        self.own.granted(&self.me.clone(), delegation.clone(), now);
+        self.own.prune(now);
+        Some(delegation)
+    }
+
+    /// Lowers the weight of nodes that have far more machines than the others, and raises it where it was
+    /// lowered too far: zones differ in how many machines they have.
+    fn balance(&mut self, live: &[(NodeName, Zone)], now: Time) {
+        if now < self.next_balance {
+            return;
+        }
+        self.next_balance = now + BALANCE_EVERY;
+        self.weights.retain(|node, _| live.iter().any(|(n, _)| n == node));
+        let mut counts: BTreeMap<&NodeName, f64> = live.iter().map(|(n, _)| (n, 0.0)).collect();
+        for known in self.known.values() {
+            if let Some(n) = counts.get_mut(&known.node) {
+                *n += 1.0;
+            }
+        }
+        let first = |node: &NodeName| if *node == self.me { LEADERS_WEIGHT } else { WEIGHT };
+        let all: f64 = counts.values().sum();
+        let sum: f64 = live.iter().map(|(n, _)| f64::from(first(n))).sum();
+        // With few machines chance decides, and nothing is gained.
+        if all < 50.0 * live.len() as f64 || sum <= 0.0 {
+            return;
+        }
+        for (node, n) in counts {
+            let share = all * f64::from(first(node)) / sum;
+            let weight = f64::from(self.weights.get(node).copied().unwrap_or(first(node)));
+            let next = match n / share.max(1.0) {
+                r if r > UNEVEN => (weight * STEP).max(f64::from(first(node)) / 10.0),
+                r if r < 1.0 / UNEVEN => (weight / STEP).min(f64::from(first(node)) * 2.0),
+                _ => continue,
+            };
+            self.weights.insert(node.clone(), next.round() as u16);
+        }
+    }
+
+    /// The node to which a worker is sent that reports to the leader itself, if it is not answered here.
+    pub fn elsewhere(&mut self, machine: &MachineId, zone: &Zone, now: Time) -> Option<NodeName> {
+        match self.own.elsewhere(machine, zone, now) {
+            Some(Turn::Home(home)) if self.is_fresh(&home, now) => Some(home),
+            _ => None,
+        }
+    }
+
+    fn is_fresh(&self, node: &NodeName, now: Time) -> bool {
+        self.digests.get(node).is_some_and(|at| now.since(*at) < FRESH)
+    }
+
+    /// A report that came to the leader itself.
+    pub fn reported_here(&mut self, machine: &MachineId, at: Stamped, content: Vec<u8>) {
+        let (node, hash) = (self.me.clone(), content_hash(&content));
+        self.known.insert(machine.clone(), Known { node, at, content, hash });
+    }
+
+    pub fn known(&self, machine: &MachineId) -> Option<&Known> {
+        self.known.get(machine)
+    }
+
+    pub fn forget(&mut self, machine: &MachineId) {
+        self.known.remove(machine);
+    }
+
+    /// The node through which orders reach a machine; none: straight from here.
+    pub fn route(&self, machine: &MachineId, now: Time) -> Option<&NodeName> {
+        let node = &self.known.get(machine)?.node;
+        (*node != self.me && self.is_fresh(node, now)).then_some(node)
+    }
+
+    /// Another way than the usual one: a node that is heard, or straight from here.
+    pub fn detour(&self, machine: &MachineId, now: Time) -> Option<&NodeName> {
+        if self.route(machine, now).is_some() {
+            return None;
+        }
+        let usual = self.known.get(machine).map(|k| &k.node);
+        self.digests.keys().find(|node| Some(*node) != usual && self.is_fresh(node, now))
+    }
+
+    /// Takes a digest in. What it says is worth what the report said: newer ones than known only, and "the same
+    /// as before" only of the content that is known here; else it is asked for.
+    pub fn digest(&mut self, from: &NodeName, digest: Digest, now: Time) -> Vec<Heard> {
+        if digest.fence != self.fence {
+            return Vec::new();
+        }
+        self.digests.insert(from.clone(), now);
+        // A digest that a cut has held back says with its beat how old it is at least.
+        let Some(beat) = self.sent.iter().find(|(beat, _)| *beat == digest.beat).map(|(_, at)| *at) else {
+            return Vec::new();
+        };
+        let heard = |age: Span| now.before(age).min(beat + SLACK);
+        let mut out = Vec::new();
+        for full in digest.full {
+            let at = heard(full.age);
+            out.extend(self.take_full(from, at, full));
+        }
+        let trusts = self.trusts();
+        for same in digest.same {
+            match self.known.get_mut(&same.machine) {
+                Some(k) if !same.at.is_newer(&k.at) => {}
+                Some(k)
+                    if trusts
+                        || (k.hash == same.hash
+                            && (k.at.session, k.at.fence) == (same.at.session, same.at.fence)) =>
+                {
+                    k.at = same.at;
+                    k.node = from.clone();
+                    out.push(Heard {
+                        machine: same.machine,
+                        at: same.at,
+                        heard: heard(same.age),
+                        new: false,
+                    });
+                }
+                _ => {
+                    self.wanted.entry(from.clone()).or_default().insert(same.machine);
+                }
+            }
+        }
+        out
+    }
+
+    /// Takes in what this node heard before it led, as of `since`.
+    pub fn seed(&mut self, own: Vec<Full>, since: Time, now: Time) -> Vec<Heard> {
+        let me = self.me.clone();
+        let heard = |f: &Full| since.before(f.age).min(now);
+        own.into_iter().filter_map(|full| self.take_full(&me, heard(&full), full)).collect()
+    }
+
+    fn take_full(&mut self, from: &NodeName, heard: Time, full: Full) -> Option<Heard> {
+        if self.known.get(&full.machine).is_some_and(|k| !full.at.is_newer(&k.at)) {
+            return None;
+        }
+        let hash = content_hash(&full.content);
+        let known = Known { node: from.clone(), at: full.at, content: full.content, hash };
+        self.known.insert(full.machine.clone(), known);
+        if let Some(wanted) = self.wanted.get_mut(from) {
+            wanted.remove(&full.machine);
+        }
+        Some(Heard { machine: full.machine, at: full.at, heard, new: true })
+    }
+
+    /// Machines whose last words are to be asked for, by node.
+    pub fn wants(&mut self) -> Vec<(NodeName, Vec<MachineId>)> {
+        let wanted = std::mem::take(&mut self.wanted);
+        wanted
+            .into_iter()
+            .filter(|(_, machines)| !machines.is_empty())
+            .map(|(node, machines)| (node, machines.into_iter().collect()))
+            .collect()
+    }
+
+    /// Machines by the node that hears them.
+    pub fn counts(&self) -> BTreeMap<NodeName, usize> {
+        let mut counts = BTreeMap::new();
+        self.known.values().for_each(|k| *counts.entry(k.node.clone()).or_default() += 1);
+        counts
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::messages::Same;
+    use pearford_types::Session;
+
+    const T: fn(u64) -> Time = Time::from_ms;
+
+    fn stamped(serial: u64) -> Stamped {
+        Stamped { session: Session(1), serial, fence: Fence(7) }
+    }
+
+    fn hub() -> (Hub, Delegation) {
+        let mut hub = Hub::new("l".into(), Fence(7), T(1_000));
+        let live = [("l".into(), "x".into()), ("a".into(), "y".into()), ("b".into(), "z".into())];
+        let delegation = hub.delegation(&live, true, T(1_000)).expect("due");
+        (hub, delegation)
+    }
+
+    fn full(serial: u64, content: &str) -> Full {
+        let (age, content) = (Span::ms(0), content.as_bytes().to_vec());
+        Full { machine: "m".into(), at: stamped(serial), age, content }
+    }
+
+    fn same(serial: u64, content: &str) -> Same {
+        let hash = content_hash(content.as_bytes());
+        Same { machine: "m".into(), at: stamped(serial), age: Span::ms(0), hash }
+    }
+
+    fn digest(full: Vec<Full>, same: Vec<Same>) -> Digest {
+        Digest { fence: Fence(7), beat: 1, full, same }
+    }
+
+    /// A machine moved from a to b, said something else there, and came back to a, to which it says what it had
+    /// said there before: taken for what it said to b, that would prove tasks gone that run.
+    #[test]
+    fn the_same_as_before_is_taken_only_for_content_that_is_known() {
+        let (mut hub, _) = hub();
+        let (a, b): (NodeName, NodeName) = ("a".into(), "b".into());
+        assert_eq!(hub.digest(&a, digest(vec![full(1, "runs x")], vec![]), T(1_100)).len(), 1);
+        assert_eq!(hub.digest(&b, digest(vec![full(2, "nothing")], vec![]), T(1_200)).len(), 1);
+        assert!(hub.digest(&a, digest(vec![], vec![same(3, "runs x")]), T(1_300)).is_empty());
+        assert_eq!(hub.wants(), [(a.clone(), vec!["m".into()])]);
+        let heard = hub.digest(&a, digest(vec![full(3, "runs x")], vec![]), T(1_400));
+        assert!(heard[0].new && hub.known(&"m".into()).expect("known").content == b"runs x");
+        let heard = hub.digest(&a, digest(vec![], vec![same(4, "runs x")]), T(1_500));
+        assert!(!heard[0].new && heard[0].at.serial == 4);
+        // Overtaken and repeated ones say nothing.
+        assert!(hub.digest(&b, digest(vec![full(2, "nothing")], vec![]), T(1_600)).is_empty());
+        assert!(hub.digest(&a, digest(vec![], vec![same(4, "runs x")]), T(1_700)).is_empty());
+        assert!(hub.wants().is_empty());
+        // Nor do those to another leader.
+        let other = Digest { fence: Fence(6), ..digest(vec![full(9, "")], vec![]) };
+        assert!(hub.digest(&a, other, T(1_800)).is_empty());
+    }
+
+    /// Held back by a cut for a minute, a digest says that its machines were heard just now.
+    #[test]
+    fn a_digest_that_was_held_back_does_not_make_its_machines_look_alive() {
+        let (mut hub, _) = hub();
+        let heard = hub.digest(&"a".into(), digest(vec![full(1, "x")], vec![]), T(60_000));
+        assert!(heard[0].heard <= T(1_000) + SLACK);
+        // One whose beat is not even remembered says nothing.
+        let old = Digest { beat: 0, ..digest(vec![full(2, "x")], vec![]) };
+        assert!(hub.digest(&"a".into(), old, T(60_000)).is_empty());
+    }
+
+    #[test]
+    fn orders_go_through_a_node_that_is_heard_and_else_straight() {
+        let (mut hub, _) = hub();
+        hub.digest(&"a".into(), digest(vec![full(1, "x")], vec![]), T(1_100));
+        assert_eq!(hub.route(&"m".into(), T(1_200)), Some(&"a".into()));
+        assert_eq!(hub.route(&"m".into(), T(4_000)), None, "a is silent");
+        assert_eq!(hub.detour(&"m".into(), T(1_200)), None, "straight, for once");
+        hub.digest(&"b".into(), digest(vec![], vec![]), T(4_000));
+        assert_eq!(hub.detour(&"m".into(), T(4_000)), Some(&"b".into()));
+        hub.reported_here(&"m".into(), stamped(2), b"x".to_vec());
+        assert_eq!(hub.detour(&"m".into(), T(1_200)), Some(&"a".into()), "this node may have lost it");
+        assert_eq!(hub.route(&"m".into(), T(1_200)), None);
+        assert_eq!(hub.route(&"unheard".into(), T(1_200)), None);
+    }
+
+    #[test]
+    fn a_node_with_far_more_than_its_share_gets_a_lower_weight() {
+        let (mut hub, first) = hub();
+        let live = [("l".into(), "x".into()), ("a".into(), "y".into()), ("b".into(), "z".into())];
+        let weight = |d: &Delegation, node: &str| {
+            d.homes.places().iter().find(|p| p.node.as_str() == node).expect("there").weight
+        };
+        for i in 0..400 {
+            let machine = MachineId::from(format!("m-{i}").as_str());
+            let all = vec![Full { machine, ..full(1, "x") }];
+            hub.digest(&if i < 380 { "a" } else { "b" }.into(), digest(all, vec![]), T(1_100));
+        }
+        let later = hub.delegation(&live, true, T(12_000)).expect("due");
+        assert!(weight(&later, "a") < weight(&first, "a") && weight(&later, "b") > weight(&first, "b"));
+    }
+}
--- /dev/null
+++ b/crates/homes/src/messages.rs
@@ -0,0 +1,79 @@
+//! What leader and delegates say to each other about reports.
+
+use crate::rule::Homes;
+use pearford_types::{Fence, MachineId, Session, Span};
+use serde::{Deserialize, Serialize};
+
+/// Where in its life a worker made a report, and the highest fence it had seen then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamped {
+    pub session: Session,
+    pub serial: u64,
+    pub fence: Fence,
+}
+
+impl Stamped {
+    /// Whether it was made after `other`.
+    pub fn is_newer(&self, other: &Stamped) -> bool {
+        (self.session, self.serial) > (other.session, other.serial)
+    }
+}
+
+/// From the leader, once a second: whoever gets it may answer reports by this fence.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delegation {
+    pub fence: Fence,
+    /// Counts the leader's delegations: a digest says which one its sender has had last.
+    pub beat: u64,
+    /// The leader has read all records and can judge what it is told.
+    pub ready: bool,
+    pub homes: Homes,
+}
+
+/// A report in full.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Full {
+    pub machine: MachineId,
+    pub at: Stamped,
+    /// How long ago it was heard when the digest left.
+    pub age: Span,
+    /// What it says, in the form of the node's own.
+    pub content: Vec<u8>,
+}
+
+/// A report that says what an earlier one of the same session said.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Same {
+    pub machine: MachineId,
+    pub at: Stamped,
+    pub age: Span,
+    /// Of the content: whoever has another one for this machine must not take it for that.
+    pub hash: u64,
+}
+
+/// From a delegate: what it has heard since its last one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    pub fence: Fence,
+    pub beat: u64,
+    pub full: Vec<Full>,
+    pub same: Vec<Same>,
+}
+
+/// A direct order for a delegate to pass on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedCall {
+    pub call: u64,
+    pub addr: String,
+    pub body: String,
+    pub patience: Span,
+}
+
+/// What became of one: the worker's status (0: no answer came; it may still run) and where in its life the
+/// worker answered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relayed {
+    pub call: u64,
+    pub status: u16,
+    pub at: Option<Stamped>,
+}
--- /dev/null
+++ b/crates/homes/src/tests.rs
@@ -0,0 +1,203 @@
+//! All orders of events at small size: one worker that reports at either of two delegates and says one of two
+//! things, digests delivered in any order, lost, repeated and held, a second leader. Checked after each event:
+//! what the leader takes for a report's content is what the worker said in it, and no worker is answered by a
+//! lower fence than it has seen. Without the guards the search finds a way to break each.
+
+use crate::{Ask, Delegate, Delegation, Digest, Guard, Homes, Hub, Place, Stamped, Turn};
+use arbtest::arbtest;
+use pearford_types::{Fence, MachineId, NodeName, Session, Span, Time, Zone};
+use std::collections::HashSet;
+
+const REPORTS: usize = 4;
+const DIGESTS: usize = 4;
+const IN_FLIGHT: usize = 2;
+
+#[derive(Debug, Clone)]
+struct Cell {
+    now: Time,
+    delegates: [Delegate; 2],
+    hub: Hub,
+    flying: Vec<(usize, Digest)>,
+    /// What the worker said in each report.
+    said: Vec<u8>,
+    fence: u64,
+    digests: usize,
+    /// The second leader has pushed its fence to the worker; has delegated.
+    pushed: bool,
+    delegated: bool,
+}
+
+fn node(i: usize) -> NodeName {
+    ["a", "b"][i].into()
+}
+
+/// A delegation by which the node is home to all.
+fn delegation(fence: u64, beat: u64, i: usize) -> Delegation {
+    let homes = Homes::new(vec![Place { node: node(i), zone: "z".into(), weight: 1 }]);
+    Delegation { fence: Fence(fence), beat, ready: true, homes }
+}
+
+impl Cell {
+    fn new() -> Self {
+        let now = Time::from_ms(1_000);
+        let mut hub = Hub::new("l".into(), Fence(1), now);
+        hub.delegation(&[], true, now);
+        let delegates = [0, 1].map(|i| {
+            let mut d = Delegate::new(node(i));
+            d.granted(&"l".into(), delegation(1, 1, i), now);
+            d
+        });
+        Self {
+            now,
+            delegates,
+            hub,
+            flying: Vec::new(),
+            said: Vec::new(),
+            fence: 1,
+            digests: 0,
+            pushed: false,
+            delegated: false,
+        }
+    }
+
+    fn report(&mut self, i: usize, content: u8) -> Result<(), String> {
+        self.said.push(content);
+        let at = Stamped { session: Session(1), serial: self.said.len() as u64, fence: Fence(self.fence) };
+        let (machine, zone): (MachineId, Zone) = ("m".into(), "z".into());
+        let ask = Ask { machine: &machine, zone: &zone, at, content: vec![content] };
+        match self.delegates[i].report(ask, Fence(0), true, self.now) {
+            Turn::Answer(fence) if fence.0 < self.fence => {
+                Err(format!("answered by {fence} whoever has seen {}", self.fence))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn deliver(&mut self, k: usize) -> Result<(), String> {
+        let (i, digest) = self.flying[k].clone();
+        for heard in self.hub.digest(&node(i), digest, self.now) {
+            let known = self.hub.known(&heard.machine).ok_or("heard and not known")?;
+            let said = self.said[heard.at.serial as usize - 1];
+            if known.content != [said] {
+                return Err(format!("report {} said {said}, taken for {:?}", heard.at.serial, known.content));
+            }
+        }
+        for (to, machines) in self.hub.wants() {
+            self.delegates[usize::from(to == node(1))].wanted(machines);
+        }
+        Ok(())
+    }
+
+    /// All that may happen next.
+    fn next(&self) -> Vec<Result<Cell, String>> {
+        let mut out = Vec::new();
+        let mut then = |what: &dyn Fn(&mut Cell) -> Result<(), String>| {
+            let mut cell = self.clone();
+            out.push(what(&mut cell).map(|()| cell));
+        };
+        for i in 0..2 {
+            if self.said.len() < REPORTS {
+                then(&|c| c.report(i, 0));
+                then(&|c| c.report(i, 1));
+            }
+            if self.digests < DIGESTS && self.flying.len() < IN_FLIGHT {
+                then(&|c| {
+                    c.now = c.now + Span::ms(500);
+                    c.digests += 1;
+                    if let Some((_, digest)) = c.delegates[i].digest(c.now) {
+                        c.flying.push((i, digest));
+                    }
+                    Ok(())
+                });
+            }
+        }
+        for k in 0..self.flying.len() {
+            then(&|c| c.deliver(k)); // and again later
+            then(&|c| {
+                c.deliver(k)?;
+                c.flying.remove(k);
+                Ok(())
+            });
+            then(&|c| {
+                c.flying.remove(k);
+                Ok(())
+            });
+        }
+        if !self.pushed {
+            then(&|c| {
+                (c.pushed, c.fence) = (true, 2);
+                Ok(())
+            });
+        }
+        if !self.delegated {
+            then(&|c| {
+                c.delegated = true;
+                c.delegates[0].granted(&"k".into(), delegation(2, 1, 0), c.now);
+                Ok(())
+            });
+        }
+        out
+    }
+}
+
+/// Goes through all states up to `depth` events; the first fault found, and how many states there are.
+fn search(first: Cell, depth: usize) -> (Option<String>, usize) {
+    let mut seen = HashSet::new();
+    let mut level = vec![first];
+    for _ in 0..depth {
+        let mut next = Vec::new();
+        for cell in &level {
+            for after in cell.next() {
+                match after {
+                    Err(fault) => return (Some(fault), seen.len()),
+                    Ok(after) => {
+                        if seen.insert(crate::content_hash(format!("{after:?}").as_bytes())) {
+                            next.push(after);
+                        }
+                    }
+                }
+            }
+        }
+        level = next;
+    }
+    (None, seen.len())
+}
+
+#[test]
+fn no_order_of_events_makes_a_digest_say_what_the_report_did_not() {
+    let (fault, states) = search(Cell::new(), 9);
+    assert_eq!(fault, None);
+    assert!(states > 100_000, "{states}");
+}
+
+#[test]
+fn the_search_finds_what_missing_guards_allow() {
+    let mut trusting = Cell::new();
+    trusting.hub.trust_all();
+    let (fault, _) = search(trusting, 9);
+    assert!(fault.as_ref().is_some_and(|f| f.contains("taken for")), "{fault:?}");
+    let mut older = Cell::new();
+    older.delegates.iter_mut().for_each(|d| d.take_out(Guard::OlderFence));
+    let (fault, _) = search(older, 6);
+    assert!(fault.as_ref().is_some_and(|f| f.contains("answered by")), "{fault:?}");
+}
+
+/// Whatever bytes come as a digest or a delegation: read or not, and nothing panics.
+#[test]
+fn hostile_messages_change_nothing_that_matters() {
+    arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let mut hub = Hub::new("l".into(), Fence(1), Time::from_ms(5));
+        hub.delegation(&[], true, Time::from_ms(5));
+        if let Ok(digest) = postcard::from_bytes::<Digest>(&bytes) {
+            hub.digest(&"a".into(), Digest { fence: Fence(1), beat: 1, ..digest }, Time::from_ms(9));
+        }
+        let mut delegate = Delegate::new("a".into());
+        if let Ok(delegation) = postcard::from_bytes::<Delegation>(&bytes) {
+            delegate.granted(&"l".into(), delegation, Time::from_ms(9));
+            let _ = delegate.digest(Time::from_ms(900));
+        }
+        Ok(())
+    })
+    .budget_ms(500);
+}
--- a/crates/scheduler/src/blocks/mod.rs
+++ b/crates/scheduler/src/blocks/mod.rs
@@ -3,6 +3,8 @@
 
 use crate::placement::{Counts, Learned, MachineView, Proposal, TaskAsk};
 use crate::types::{Fence, JobId, MachineId, NodeName, Span, Time, Zone};
+use crate::wire::workers::Order;
+use pearford_homes::{Delegation, Digest, Relayed, RelayedCall};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -36,6 +38,19 @@
     Offer { fence: Fence, block: u64, round: u64, machines: Vec<MachineView>, asks: Vec<TaskAsk> },
     /// The controller's answer.
     Proposals { fence: Fence, block: u64, round: u64, proposals: Vec<Proposal> },
+    // What follows is understood from level `HOMES` on, and is sent from then on only.
+    /// From the leader: the receiver may answer workers' reports.
+    Delegation(Delegation),
+    /// To the leader: what was heard of workers.
+    Digest(Digest),
+    /// From the leader: it lacks what these machines last said.
+    Want { fence: Fence, machines: Vec<MachineId> },
+    /// From the leader: direct orders to pass on.
+    Relay { fence: Fence, calls: Vec<RelayedCall> },
+    /// To the leader: what became of them.
+    Relayed { fence: Fence, calls: Vec<Relayed> },
+    /// From the leader: orders to go out with the answers to the next reports.
+    Errands { fence: Fence, orders: Vec<(MachineId, Vec<Order>)> },
 }
 
 pub fn encode(from: &NodeName, message: PeerMessage) -> Vec<u8> {
--- a/crates/scheduler/src/compat/mod.rs
+++ b/crates/scheduler/src/compat/mod.rs
@@ -16,8 +16,10 @@
 pub type Level = u32;
 /// Jobs that need others.
 pub const DEPENDENCIES: Level = 1;
+/// Reports are answered by every node, in the leader's name.
+pub const HOMES: Level = 2;
 /// What this version understands.
-pub const OURS: Level = DEPENDENCIES;
+pub const OURS: Level = HOMES;
 
 const PREFIX: &str = "level/";
 const NODES: &str = "level/node/";
--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -202,13 +202,6 @@
     t.boot().times(patience) + Span::secs(10.0)
 }
 
-impl std::ops::Add for Span {
-    type Output = Span;
-    fn add(self, o: Span) -> Span {
-        Span(self.0 + o.0)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,6 +1,8 @@
 //! pearford, a cluster scheduler: see `docs/design.md`.
 #![forbid(unsafe_code)]
 
+pub use pearford_types as types;
+
 pub mod blocks;
 pub mod compat;
 pub mod feature;
@@ -14,7 +16,6 @@
 pub mod preemption;
 pub mod settings;
 pub mod store;
-pub mod types;
 pub mod wire;
 pub mod workers;
 #[cfg(any(test, feature = "world"))]
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -2,11 +2,12 @@
 //! input to the part whose duty it is.
 
 mod features;
+mod reports;
 mod users;
 
 use super::catalogue::Catalogue;
 use super::follower::{Follower, Turn as ReadTurn};
-use super::master::{Ctx, Leave, Master};
+use super::master::{Ctx, Leave, Master, homes_on};
 use super::outbox::{LeaderOp, Outbox, Pending, Whose};
 use super::peers::Peers;
 use super::{Effect, Input, Method, Now};
@@ -22,8 +23,10 @@
 use crate::wire::state::{Change, StateReply, StateRequest};
 use crate::wire::workers::{self, Report};
 use features::Slot;
+use pearford_homes::{Delegate, Stamped};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use reports::Passing;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -61,6 +64,8 @@
     user_writes: Budget,
     levels: Levels,
     master: Option<Master>,
+    delegate: Delegate,
+    passing: Passing,
     features: Vec<Slot>,
     started: bool,
     #[cfg(any(test, feature = "world"))]
@@ -99,6 +104,8 @@
             user_writes,
             levels: Levels::new(settings.node.clone(), settings.peers.iter().map(|p| p.name.clone())),
             master: None,
+            delegate: Delegate::new(settings.node.clone()),
+            passing: Passing::default(),
             features: Vec::new(),
             started: false,
             #[cfg(any(test, feature = "world"))]
@@ -143,7 +150,8 @@
         } else {
             self.pump();
         }
-        self.out.take()
+        let fence = self.seat.fence();
+        self.out.take(fence)
     }
 
     /// The leader's part and what it may use, if this node has it.
@@ -154,6 +162,7 @@
             valid: self.seat.valid(self.now),
             holds: self.seat.leads(),
             fresh_at: self.follower.fresh_at(),
+            homes: homes_on(&self.settings, self.levels.reached()),
             mirror: &mut self.mirror,
             counts: &mut self.counts,
             peers: &mut self.peers,
@@ -200,6 +209,7 @@
         }
         self.levels_tick();
         self.features_tick();
+        self.reports_tick();
         let leave = self.leading().and_then(|(master, mut ctx)| master.tick(&mut ctx));
         self.leave(leave);
     }
@@ -275,37 +285,6 @@
         }
     }
 
-    // ---- workers ----
-
-    fn report(&mut self, request: OpId, body: &[u8]) {
-        let report: Report = match serde_json::from_slice(body) {
-            Ok(report) => report,
-            Err(error) => return self.out.refuse(request, 400, &error.to_string()),
-        };
-        self.saw_fence(report.fence);
-        let taken = self.leading().is_some_and(|(master, mut ctx)| master.report(&mut ctx, request, &report));
-        if !taken {
-            self.heard_worker = self.now;
-            self.redirect(request);
-        }
-    }
-
-    fn redirect(&mut self, request: OpId) {
-        let known = self.leader_hint.as_ref();
-        let known = known.filter(|(f, _, at)| *f >= self.top_fence && self.now.since(*at) < Span::ms(3000));
-        match known {
-            Some((_, leader, _)) => self.out.answer(request, 421, workers::redirect(Some(leader))),
-            None => self.out.refuse(request, 503, "no leader is known here"),
-        }
-    }
-
-    fn worker(&mut self, op: OpId, status: u16, body: &[u8]) {
-        let seen = self.leading().and_then(|(master, _)| master.worker(op, status, body));
-        if let Some(fence) = seen {
-            self.saw_fence(fence);
-        }
-    }
-
     // ---- the state service's and the cloud's answers ----
 
     fn state(&mut self, op: OpId, reply: StateReply) {
@@ -387,7 +366,8 @@
         tracing::info!(%fence, "leads now");
         self.saw_fence(fence);
         let types = self.catalogue.types().to_vec();
-        self.master = Some(Master::new(self.settings.clone(), fence, self.now, types));
+        let early = self.delegate.leads(self.now);
+        self.master = Some(Master::new(self.settings.clone(), fence, self.now, types, early));
         if let Some((master, mut ctx)) = self.leading() {
             master.load(&mut ctx);
         }
@@ -395,6 +375,7 @@
 
     fn step_down(&mut self, why: &str) {
         if self.master.take().is_some() {
+            self.out.forget_relays();
             tracing::warn!(why, "leads no longer");
         }
     }
@@ -473,6 +454,7 @@
                     master.proposals(&mut ctx, &from, fence, block, round, proposals);
                 }
             }
+            message => self.about_reports(&from, message),
         }
     }
 
--- /dev/null
+++ b/crates/scheduler/src/node/core/reports.rs
@@ -0,0 +1,175 @@
+//! Workers' reports at any node: answered as the leader, in the leader's name, or sent elsewhere; and orders
+//! that are passed on for the leader.
+
+use super::*;
+use crate::types::MachineId;
+use crate::wire::workers::{Order, TaskPhase};
+use pearford_homes::{Ask, Relayed, RelayedCall, Turn as Whose};
+
+/// Orders passed on for a leader at a time; more are answered as not sent.
+const PASSING: usize = 4096;
+/// Machines that orders wait for.
+const ERRANDS: usize = 10_000;
+const NOT_SENT: u16 = 409;
+
+/// What passes through this node between the leader and workers.
+#[derive(Debug, Default)]
+pub(super) struct Passing {
+    /// Direct orders under way, for whom, and as what they know it.
+    calls: BTreeMap<OpId, (NodeName, Fence, u64)>,
+    /// Orders that go out with the answers to the next reports.
+    errands: BTreeMap<MachineId, (Fence, Vec<Order>)>,
+}
+
+impl Core {
+    pub(super) fn report(&mut self, request: OpId, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(error) => return self.out.refuse(request, 400, &error.to_string()),
+        };
+        self.saw_fence(report.fence);
+        let taken = self.leading().is_some_and(|(master, mut ctx)| master.report(&mut ctx, request, &report));
+        if !taken && !self.report_to_delegate(request, &report) {
+            self.heard_worker = self.now;
+            self.redirect(request);
+        }
+    }
+
+    /// Whether this node's own last look at the job records allows it to renew leases: as for a leader, a
+    /// withdrawal that it can't see was told after that look.
+    fn look_allows(&self) -> bool {
+        let hold = self.settings.workers.hold();
+        self.mirror.epoch().is_some() && self.now.since(self.follower.fresh_at()) < hold
+    }
+
+    /// Answers in the leader's name, or sends the worker where it belongs; false: this node has no delegation.
+    fn report_to_delegate(&mut self, request: OpId, report: &Report) -> bool {
+        if self.seat.leads() || self.delegate.fence().is_none() {
+            return false;
+        }
+        let (top, may_renew) = (self.top_fence, self.look_allows());
+        let (machine, zone) = (&report.machine, &report.zone);
+        let ask = Ask { machine, zone, at: report.stamped(), content: report.content() };
+        match self.delegate.report(ask, top, may_renew, self.now) {
+            Whose::NotOurs => return false,
+            Whose::Home(node) => self.out.answer(request, 421, workers::redirect(Some(&node))),
+            Whose::On => {
+                self.heard_worker = self.now;
+                self.out.answer(request, 421, workers::redirect(None));
+            }
+            Whose::Answer(fence) => {
+                // Jobs that are over: stopped whatever the leader knows, as it may be out of reach. No start
+                // ever goes this way; what the leader sends on its own goes directly.
+                let mirror = &self.mirror;
+                let over = report.tasks.iter().filter(|t| t.phase != TaskPhase::Exited);
+                let over = over.filter_map(|t| t.task().map(|task| (task, t.attempt)));
+                let over = over.filter(|(task, _)| mirror.verdict(&task.job).is_some());
+                let mut orders: Vec<Order> =
+                    over.map(|(task, attempt)| Order::Stop { task, attempt, grace_s: 0.0 }).collect();
+                if let Some((of, errands)) = self.passing.errands.remove(&report.machine)
+                    && of == fence
+                {
+                    orders.extend(errands);
+                }
+                self.out.answer(request, 200, workers::answer(fence, &orders));
+            }
+        }
+        true
+    }
+
+    fn redirect(&mut self, request: OpId) {
+        let known = self.leader_hint.as_ref();
+        let known = known.filter(|(f, _, at)| *f >= self.top_fence && self.now.since(*at) < Span::ms(3000));
+        match known {
+            Some((_, leader, _)) => self.out.answer(request, 421, workers::redirect(Some(leader))),
+            None => self.out.refuse(request, 503, "no leader is known here"),
+        }
+    }
+
+    /// A worker's answer to something direct: for this node as leader, or to be passed on.
+    pub(super) fn worker(&mut self, op: OpId, status: u16, body: &[u8]) {
+        let at = serde_json::from_slice::<Report>(body).ok().map(|r| r.stamped());
+        match self.passing.calls.remove(&op) {
+            Some((leader, fence, call)) => {
+                if let Some(at) = at {
+                    self.saw_fence(at.fence);
+                }
+                let calls = vec![Relayed { call, status, at }];
+                self.out.tell(&leader, PeerMessage::Relayed { fence, calls });
+            }
+            None => self.worker_answered(op, status, at),
+        }
+    }
+
+    fn worker_answered(&mut self, op: OpId, status: u16, at: Option<Stamped>) {
+        let seen = self.leading().and_then(|(master, _)| master.worker(op, status, at));
+        if let Some(fence) = seen {
+            self.saw_fence(fence);
+        }
+    }
+
+    /// What nodes say to one another about reports.
+    pub(super) fn about_reports(&mut self, from: &NodeName, message: PeerMessage) {
+        match message {
+            PeerMessage::Delegation(d) if self.heed(d.fence, from) && !self.seat.leads() => {
+                self.delegate.granted(from, d, self.now);
+            }
+            PeerMessage::Want { fence, machines } if self.delegate.fence() == Some(fence) => {
+                self.delegate.wanted(machines);
+            }
+            PeerMessage::Errands { fence, orders } if fence >= self.top_fence => {
+                for (machine, orders) in orders {
+                    if self.passing.errands.len() < ERRANDS {
+                        self.passing.errands.insert(machine, (fence, orders));
+                    }
+                }
+            }
+            PeerMessage::Relay { fence, calls } => self.pass_on(from, fence, calls),
+            PeerMessage::Digest(digest) => {
+                if let Some((master, mut ctx)) = self.leading() {
+                    master.digest(&mut ctx, from, digest);
+                }
+            }
+            PeerMessage::Relayed { fence, calls } if fence == self.seat.fence() => {
+                for Relayed { call, status, at } in calls {
+                    if self.out.relay_answered(OpId(call)) {
+                        self.worker_answered(OpId(call), status, at);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Passes a leader's direct orders on. One that a cut has held back is as good as one that was late on its
+    /// way to the worker: it names session and fence, and its sender has long counted it as in doubt.
+    fn pass_on(&mut self, from: &NodeName, fence: Fence, calls: Vec<RelayedCall>) {
+        let mut refused = Vec::new();
+        for RelayedCall { call, addr, body, patience } in calls {
+            if fence < self.top_fence || self.passing.calls.len() >= PASSING {
+                refused.push(Relayed { call, status: NOT_SENT, at: None });
+                continue;
+            }
+            let op = self.out.ask_worker(addr, body, patience);
+            self.passing.calls.insert(op, (from.clone(), fence, call));
+        }
+        if !refused.is_empty() {
+            self.out.tell(from, PeerMessage::Relayed { fence, calls: refused });
+        }
+    }
+
+    pub(super) fn reports_tick(&mut self) {
+        for op in self.out.relays_overdue(self.now) {
+            self.worker_answered(op, 0, None);
+        }
+        if !self.seat.leads()
+            && let Some((leader, digest)) = self.delegate.digest(self.now)
+        {
+            self.out.tell(&leader, PeerMessage::Digest(digest));
+        }
+        let (top, errands) = (self.top_fence, &mut self.passing.errands);
+        if errands.values().any(|(fence, _)| *fence < top) {
+            errands.retain(|_, (fence, _)| *fence >= top);
+        }
+    }
+}
--- a/crates/scheduler/src/node/master/calls.rs
+++ b/crates/scheduler/src/node/master/calls.rs
@@ -1,6 +1,7 @@
 //! Workers' reports, and what goes straight to a worker: orders, the fence, questions.
 
 use super::*;
+use pearford_homes::Stamped;
 
 /// How long a worker has to answer an order.
 const WORKER_PATIENCE: Span = Span::ms(3000);
@@ -19,6 +20,13 @@
             ctx.out.refuse(request, 503, "this machine was returned");
             return true;
         }
+        if ctx.homes && self.loaded() {
+            if let Some(home) = self.hub.elsewhere(&report.machine, &report.zone, ctx.now) {
+                ctx.out.answer(request, 421, workers::redirect(Some(&home)));
+                return true;
+            }
+            self.hub.reported_here(&report.machine, report.stamped(), Vec::new());
+        }
         ctx.peers.heard_zone(&report.zone, ctx.now);
         if !self.loaded() {
             // Its lease is renewed and it learns the fence; what it says of its tasks can only be
@@ -31,7 +39,7 @@
         let over = |task: &TaskId| mirror.verdict(&task.job).is_some();
         let orders = match self.machines.get_mut(&report.machine) {
             Some(m) if (m.session, m.serial) == (report.session, report.serial) => {
-                m.orders(report, may_start, over)
+                m.orders(report, may_start, over, may_start)
             }
             _ => Vec::new(),
         };
@@ -40,10 +48,13 @@
     }
 
     /// A worker's answer to something direct; the fence that it has seen, if it says one.
-    pub(in crate::node) fn worker(&mut self, op: OpId, status: u16, body: &[u8]) -> Option<Fence> {
-        let report = || serde_json::from_slice::<Report>(body).ok();
+    pub(in crate::node) fn worker(
+        &mut self,
+        op: OpId,
+        status: u16,
+        report: Option<Stamped>,
+    ) -> Option<Fence> {
         if let Some(call) = self.directs.remove(&op) {
-            let report = report();
             let at = match (&report, status) {
                 (Some(r), 200) => Some(Some((r.session, r.serial))),
                 (_, 400 | 409) => Some(None),
@@ -63,7 +74,7 @@
         let machine = self.pushes.remove(&op)?;
         // The body is a report, but only what it says of fence and session is used: it may have
         // been made before an order sent in answer to a report ran, and would prove nothing.
-        let report = report()?;
+        let report = report?;
         if let Some(m) = self.machines.get_mut(&machine)
             && status == 409
             && report.fence < self.fence
@@ -75,6 +86,19 @@
         Some(report.fence)
     }
 
+    /// Sends something straight to a worker, by way of the node that hears it if that is another one.
+    pub(super) fn ask(
+        &mut self,
+        ctx: &mut Ctx,
+        id: &MachineId,
+        addr: String,
+        body: String,
+        patience: Span,
+    ) -> OpId {
+        let via = self.hub.route(id, ctx.now).filter(|_| ctx.homes);
+        ask_by(ctx, via, addr, body, patience)
+    }
+
     /// Tells workers the fence that have not reported yet. A few at a time: most learn it by their
     /// next report before their turn comes.
     pub(super) fn push_fence(&mut self, ctx: &mut Ctx) {
@@ -84,7 +108,8 @@
             let Some(m) = self.machines.get(&id).filter(|m| m.fence < self.fence) else { continue };
             let Some(addr) = m.addr.clone() else { continue };
             let body = workers::command(self.fence, m.session.max(m.push_session), &[]);
-            self.pushes.insert(ctx.out.ask_worker(addr, body, WORKER_PATIENCE), id);
+            let op = self.ask(ctx, &id, addr, body, WORKER_PATIENCE);
+            self.pushes.insert(op, id);
         }
     }
 
@@ -95,9 +120,11 @@
             let Some(m) = self.machines.get_mut(&id).filter(|m| m.reachable(fence)) else { continue };
             let (orders, starts) = m.direct_orders(may_start);
             if let (false, Some(addr)) = (orders.is_empty(), m.addr.clone()) {
+                self.phases.ordered(self.fence, self.since, ctx.now);
                 let body = workers::command(fence, m.session, &orders);
-                let call = DirectCall { machine: id, session: m.session, starts };
-                self.directs.insert(ctx.out.ask_worker(addr, body, WORKER_PATIENCE), call);
+                let session = m.session;
+                let op = self.ask(ctx, &id, addr, body, WORKER_PATIENCE);
+                self.directs.insert(op, DirectCall { machine: id, session, starts });
             }
         }
     }
@@ -105,7 +132,23 @@
     /// Asks silent workers whether they are there.
     pub(super) fn probe(&mut self, ctx: &mut Ctx) {
         for (id, addr, body) in self.silent_workers(ctx.now) {
-            self.probes.insert(ctx.out.ask_worker(addr, body, PROBE_PATIENCE), id);
+            // The second question takes another way: it may be this node, or the one that heard the worker,
+            // that has lost it. (A leader that had lost the workers' network gave up those whose reports it
+            // answered itself, andina fleet, apart.)
+            let again = self.machines.get(&id).is_some_and(|m| m.unanswered % 2 == 1);
+            let via = match again {
+                true => self.hub.detour(&id, ctx.now),
+                false => self.hub.route(&id, ctx.now),
+            };
+            let op = ask_by(ctx, via.filter(|_| ctx.homes), addr, body, PROBE_PATIENCE);
+            self.probes.insert(op, id);
         }
     }
 }
+
+fn ask_by(ctx: &mut Ctx, via: Option<&NodeName>, addr: String, body: String, patience: Span) -> OpId {
+    match via {
+        Some(node) => ctx.out.relay(node, addr, body, patience, ctx.now),
+        None => ctx.out.ask_worker(addr, body, patience),
+    }
+}
--- a/crates/scheduler/src/node/master/load.rs
+++ b/crates/scheduler/src/node/master/load.rs
@@ -55,13 +55,14 @@
     /// Builds the runs once all records are read: machines, progress, and job records by a read
     /// that began under this leadership. With an older copy of the jobs, tasks of one accepted
     /// meanwhile would be taken for strays, and placed a second time when it shows up.
-    pub(super) fn stock_taken(&mut self, ctx: &Ctx) {
+    pub(super) fn stock_taken(&mut self, ctx: &mut Ctx) {
         if self.stocked || !self.machines_loaded || !self.progress_loaded || self.wants_jobs(ctx.fresh_at) {
             return;
         }
         self.stocked = true;
         self.take_stock(ctx.mirror, ctx.now);
         tracing::info!(machines = self.machines.len(), jobs = self.runs.len(), "records read");
+        self.take_early(ctx);
     }
 
     /// Job records changed, here or at another node.
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod cloud;
 mod commits;
+mod homes;
 mod load;
 mod offers;
 mod room;
@@ -14,6 +15,8 @@
 mod stock;
 mod upkeep;
 
+pub(super) use homes::on as homes_on;
+
 use super::catalogue::Catalogue;
 use super::outbox::{LeaderOp, Outbox, Pending};
 use super::peers::Peers;
@@ -36,6 +39,7 @@
 use crate::wire::workers::{self, Report};
 use crate::workers::{Digest, Health, Machine, Outcome, Standing};
 use cloud::CloudOp;
+use pearford_homes::{Full, Hub};
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::cmp::Reverse;
@@ -48,8 +52,6 @@
 const START_FRESHNESS: Span = Span::ms(5000);
 /// A returned machine's late reports and listings are ignored for this long.
 const TOMB_LIFE: Span = Span::ms(600_000);
-/// Slack left off the time for which a leader without the state service answers reports.
-const HOLD_MARGIN_S: f64 = 4.0;
 /// Failures in a row from which on they speak of the job rather than of machines.
 const JOB_AT_FAULT: u32 = 4;
 
@@ -64,6 +66,8 @@
     pub fresh_at: Time,
     pub mirror: &'a mut Mirror,
     pub counts: &'a mut Counts,
+    /// Every node understands delegations, and answers reports in the leader's name.
+    pub homes: bool,
     pub peers: &'a mut Peers,
     pub catalogue: &'a mut Catalogue,
     pub rng: &'a mut StdRng,
@@ -165,6 +169,12 @@
     /// Workers with orders that needn't wait for their next report, and calls under way.
     to_direct: BTreeSet<MachineId>,
     directs: BTreeMap<OpId, DirectCall>,
+    hub: Hub,
+    /// What this node heard before it led, for when all records are read.
+    early: Vec<Full>,
+    /// Orders that go out with answers to the next reports at other nodes.
+    errands: BTreeMap<NodeName, Vec<(MachineId, Vec<workers::Order>)>>,
+    phases: homes::Phases,
     reload: Vec<(Time, LeaderOp)>,
     recheck: Vec<(Time, String)>,
 }
@@ -305,6 +315,7 @@
         fence: Fence,
         now: Time,
         types: Vec<MachineType>,
+        early: Vec<Full>,
     ) -> Self {
         let o = &settings.operator;
         // Users seldom use theirs, so the two overlap a little; what is over the limit is refused by
@@ -358,6 +369,10 @@
             probes: BTreeMap::new(),
             to_direct: BTreeSet::new(),
             directs: BTreeMap::new(),
+            hub: Hub::new(settings.node.clone(), fence, now),
+            early,
+            errands: BTreeMap::new(),
+            phases: homes::Phases::default(),
             reload: Vec::new(),
             recheck: Vec::new(),
             settings,
@@ -387,14 +402,8 @@
     }
 
     /// Whether reports may be answered with 200, which renews the worker's lease.
-    ///
-    /// A withdrawal this node can't see yet was accepted after `fresh_at`. The worker's lease
-    /// ends `lease_s` after the last answer, and the task must be gone `cancel_s` after the
-    /// withdrawal; so answering until `fresh_at + cancel_s - lease_s` is safe, less a margin.
     fn may_renew(&self, ctx: &Ctx) -> bool {
-        let w = &self.settings.workers;
-        let hold = Span::secs(w.cancel_s - w.lease_s - HOLD_MARGIN_S);
-        ctx.holds && ctx.now.since(ctx.fresh_at) < hold
+        ctx.holds && ctx.now.since(ctx.fresh_at) < self.settings.workers.hold()
     }
 
     /// An answer of the state service to one of this leader's requests.
@@ -412,6 +421,7 @@
         self.reload_due(ctx);
         self.correct_due(ctx);
         self.beat(ctx);
+        self.delegate(ctx);
         self.late_rounds(ctx.now);
         if self.loaded() && ctx.now >= self.next_housekeeping && ctx.valid {
             return self.housekeeping(ctx);
@@ -451,6 +461,7 @@
         }
         self.offer_rounds(ctx);
         self.send_directs(ctx);
+        self.send_errands(ctx);
         self.write_records();
         self.commit(ctx);
     }
@@ -489,6 +500,9 @@
         lines.push(format!("pearford_jobs_open {}", self.runs.len()));
         lines.push(format!("pearford_tasks_waiting {waiting}"));
         lines.push(format!("pearford_journal_backlog {}", self.journal.backlog()));
+        for (node, machines) in self.hub.counts() {
+            lines.push(format!("pearford_reports_home{{node=\"{node}\"}} {machines}"));
+        }
     }
 
     /// Jobs with tasks that wait, how many, and why.
--- a/crates/scheduler/src/node/master/stock.rs
+++ b/crates/scheduler/src/node/master/stock.rs
@@ -433,7 +433,7 @@
 
     pub fn master() -> Master {
         let settings = crate::settings::parse(("p", crate::settings::SAMPLE), None).expect("valid");
-        Master::new(Arc::new(settings), Fence(9), Time::from_ms(1), Vec::new())
+        Master::new(Arc::new(settings), Fence(9), Time::from_ms(1), Vec::new(), Vec::new())
     }
 
     /// The removal of an old entry had not been written when the leader crashed, the task's new
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -218,6 +218,7 @@
     /// The cloud has answered 200: the machine and everything on it are gone.
     pub(super) fn released(&mut self, id: &MachineId, now: Time) {
         self.releasing.remove(id);
+        self.hub.forget(id);
         self.tombs.insert(id.clone(), now);
         self.blocks.remove(id);
         let Some(mut m) = self.machines.remove(id) else { return };
--- a/crates/scheduler/src/node/outbox.rs
+++ b/crates/scheduler/src/node/outbox.rs
@@ -7,12 +7,15 @@
 use crate::wire::cloud::CloudRequest;
 use crate::wire::state::{Change, StateRequest};
 use crate::wire::users;
+use pearford_homes::RelayedCall;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// How long the shell waits for the state service before it reports no answer.
 const STATE_PATIENCE: Span = Span::ms(1500);
 const CLOUD_PATIENCE: Span = Span::ms(5000);
+/// What the way by another node takes, at most, beside the order itself.
+const RELAY_SLACK: Span = Span::ms(500);
 /// Requests of users are numbered by the shell, from 1.
 const FIRST_OP: u64 = 1 << 32;
 
@@ -79,15 +82,29 @@
     effects: Vec<Effect>,
     next_op: u64,
     pending: BTreeMap<OpId, Pending>,
+    /// Direct orders of this step that go by way of other nodes.
+    relays: BTreeMap<NodeName, Vec<RelayedCall>>,
+    /// Those on their way, and when no answer is waited for any more: the node may be gone.
+    relayed: BTreeMap<OpId, Time>,
 }
 
 impl Outbox {
     pub fn new(me: NodeName) -> Self {
-        Self { me, effects: Vec::new(), next_op: FIRST_OP, pending: BTreeMap::new() }
+        Self {
+            me,
+            effects: Vec::new(),
+            next_op: FIRST_OP,
+            pending: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            relayed: BTreeMap::new(),
+        }
     }
 
-    /// The effects of the step that ends.
-    pub fn take(&mut self) -> Vec<Effect> {
+    /// The effects of the step that ends. `fence`: of the orders that go by way of other nodes.
+    pub fn take(&mut self, fence: Fence) -> Vec<Effect> {
+        for (node, calls) in std::mem::take(&mut self.relays) {
+            self.tell(&node, PeerMessage::Relay { fence, calls });
+        }
         std::mem::take(&mut self.effects)
     }
 
@@ -143,6 +160,37 @@
         op
     }
 
+    /// As `ask_worker`, by way of another node. Whoever passes it on may be gone: without an answer it may
+    /// still run, as without one of the worker's.
+    pub fn relay(&mut self, via: &NodeName, addr: String, body: String, patience: Span, now: Time) -> OpId {
+        let op = self.op();
+        let call = RelayedCall { call: op.0, addr, body, patience };
+        self.relays.entry(via.clone()).or_default().push(call);
+        self.relayed.insert(op, now + patience + RELAY_SLACK);
+        op
+    }
+
+    /// Whether this is an answer to one that is still waited for.
+    pub fn relay_answered(&mut self, op: OpId) -> bool {
+        self.relayed.remove(&op).is_some()
+    }
+
+    /// Those that are not waited for any more.
+    pub fn relays_overdue(&mut self, now: Time) -> Vec<OpId> {
+        let late = self.relayed.iter().filter(|(_, until)| **until <= now).map(|(op, _)| *op);
+        let late: Vec<OpId> = late.collect();
+        late.iter().for_each(|op| {
+            self.relayed.remove(op);
+        });
+        late
+    }
+
+    /// The lead is over: nobody waits for its orders.
+    pub fn forget_relays(&mut self) {
+        self.relays.clear();
+        self.relayed.clear();
+    }
+
     pub fn tell(&mut self, to: &NodeName, message: PeerMessage) {
         let bytes = blocks::encode(&self.me, message);
         self.effects.push(Effect::Peer { to: to.clone(), bytes });
--- a/crates/scheduler/src/settings/mod.rs
+++ b/crates/scheduler/src/settings/mod.rs
@@ -9,6 +9,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Slack left off the time for which a node without the state service answers reports.
+const HOLD_MARGIN_S: f64 = 4.0;
+
 /// What is wrong with one key.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
 #[error("{file}: {key}: {what}")]
@@ -94,6 +97,17 @@
     pub cancel_s: f64,
 }
 
+impl WorkerFacts {
+    /// How long reports may be answered with 200 after a look at the job records.
+    ///
+    /// A withdrawal that isn't seen yet was told after the look. The worker's lease ends `lease_s` after the
+    /// last answer, and the task must be gone `cancel_s` after the withdrawal: so until the look +
+    /// `cancel_s - lease_s`, less a margin.
+    pub fn hold(&self) -> Span {
+        Span::secs(self.cancel_s - self.lease_s - HOLD_MARGIN_S)
+    }
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct StateFacts {
     pub rps: f64,
@@ -211,6 +225,8 @@
     pub user_write_share: f64,
     /// How often the cloud's machine list is read.
     pub list_every_s: f64,
+    /// Whether every node answers workers' reports in the leader's name, or only the leader.
+    pub report_homes: bool,
 }
 
 impl Default for Operator {
@@ -237,6 +253,7 @@
             request_patience_ms: 1500,
             user_write_share: 0.5,
             list_every_s: 5.0,
+            report_homes: true,
         }
     }
 }
--- a/crates/scheduler/src/wire/workers.rs
+++ b/crates/scheduler/src/wire/workers.rs
@@ -1,6 +1,7 @@
 //! Workers <-> controller nodes.
 
 use crate::types::{Attempt, Fence, MachineId, NodeName, Session, TaskId, TypeName, Zone};
+use pearford_homes::Stamped;
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Clone, Deserialize)]
@@ -25,7 +26,54 @@
     pub tasks: Vec<ReportedTask>,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+/// What a report says beside who made it and when in its life: what nodes tell one another of it.
+#[derive(Serialize, Deserialize)]
+struct Content {
+    addr: String,
+    type_name: TypeName,
+    zone: Zone,
+    spot: bool,
+    notice_s: Option<f64>,
+    tasks: Vec<ReportedTask>,
+}
+
+impl Report {
+    pub fn stamped(&self) -> Stamped {
+        Stamped { session: self.session, serial: self.serial, fence: self.fence }
+    }
+
+    /// Its content, as nodes tell it one another.
+    pub fn content(&self) -> Vec<u8> {
+        let content = Content {
+            addr: self.addr.clone(),
+            type_name: self.type_name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            notice_s: self.notice_s,
+            tasks: self.tasks.clone(),
+        };
+        postcard::to_stdvec(&content).unwrap_or_default()
+    }
+
+    /// The report that had this content; none if it can't be read.
+    pub fn of(machine: &MachineId, at: Stamped, content: &[u8]) -> Option<Self> {
+        let c: Content = postcard::from_bytes(content).ok()?;
+        Some(Self {
+            machine: machine.clone(),
+            addr: c.addr,
+            type_name: c.type_name,
+            zone: c.zone,
+            spot: c.spot,
+            session: at.session,
+            serial: at.serial,
+            fence: at.fence,
+            notice_s: c.notice_s,
+            tasks: c.tasks,
+        })
+    }
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ReportedTask {
     #[serde(rename = "shard")]
     task: String,
@@ -44,7 +92,7 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum TaskPhase {
     Fetching,
@@ -59,7 +107,7 @@
     Other,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cause {
     Done,
@@ -76,7 +124,7 @@
     Other,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Order {
     Start { task: TaskId, attempt: Attempt },
     Stop { task: TaskId, attempt: Attempt, grace_s: f64 },
@@ -154,6 +202,9 @@
         assert_eq!(r.tasks[1].cause, Some(Cause::Done));
         assert_eq!(r.tasks[2].cause, Some(Cause::NoRoom));
         assert_eq!(r.tasks[3].phase, TaskPhase::Other);
+        let told = Report::of(&r.machine, r.stamped(), &r.content()).expect("readable");
+        assert_eq!(format!("{told:?}"), format!("{r:?}"), "nodes tell one another all of it");
+        assert!(Report::of(&r.machine, r.stamped(), &r.content()[1..]).is_none_or(|t| t.tasks.len() != 4));
         let task = TaskId::parse("req-000412/4").expect("valid");
         let orders = [
             Order::Start { task: task.clone(), attempt: Attempt(2) },
--- a/crates/scheduler/src/workers/mod.rs
+++ b/crates/scheduler/src/workers/mod.rs
@@ -88,6 +88,8 @@
     /// may still act. Their absence proves nothing, and an exited one isn't forgotten, since the
     /// worker would then start it again.
     pub doubtful: BTreeMap<(TaskId, Attempt), Session>,
+    /// Tasks in its last report.
+    listed: usize,
 }
 
 /// What a report changed.
@@ -140,6 +142,7 @@
             failed: Vec::new(),
             held: None,
             doubtful: BTreeMap::new(),
+            listed: 0,
         }
     }
 
@@ -283,6 +286,7 @@
         self.session = report.session;
         self.serial = report.serial;
         self.fence = report.fence;
+        self.listed = report.tasks.len();
         self.addr = Some(report.addr.clone());
         self.last_report = Some(now);
         self.unanswered = 0;
@@ -323,13 +327,45 @@
         digest
     }
 
-    /// The orders that answer `report`. Starts leave only with `may_start`, that is under a
-    /// valid leadership; `may_stop` tells which stops may leave without it.
+    /// Whether a report that says what the last one said has nothing to prove and needs no orders: each task in
+    /// it is one of the ledger's, and nothing is under way to or from the worker.
+    pub fn is_settled(&self) -> bool {
+        let settled = |e: &Entry| match e.state {
+            EntryState::Planned => true,
+            // Its start could not be sent while the worker had not seen this leader's fence.
+            EntryState::Ready => e.after_fetches,
+            EntryState::Preparing | EntryState::Running | EntryState::Saving | EntryState::Done => {
+                e.stop.is_none()
+            }
+            EntryState::Sent { .. } | EntryState::Direct | EntryState::Inherited => false,
+        };
+        let listed = self.entries.values().filter(|e| !e.unsent()).count();
+        self.strays.is_empty() && listed == self.listed && self.entries.values().all(settled)
+    }
+
+    /// Whether starts could leave now.
+    pub fn has_starts(&self) -> bool {
+        self.entries.values().any(|e| e.state == EntryState::Ready && e.stop.is_none() && !e.after_fetches)
+    }
+
+    /// Takes in a report that says what the last one said, of a settled machine.
+    pub fn heard_again(&mut self, session: Session, serial: u64, at: Time) {
+        if session == self.session && serial > self.serial {
+            self.serial = serial;
+            self.last_report = self.last_report.max(Some(at));
+            self.unanswered = 0;
+        }
+    }
+
+    /// The orders that answer `report`. Starts leave only with `may_start`; `may_stop` tells which stops may
+    /// leave without it. What the ledger doesn't know is stopped or forgotten under a valid leadership
+    /// (`leads`) only.
     pub fn orders(
         &mut self,
         report: &Report,
         may_start: bool,
         may_stop: impl Fn(&TaskId) -> bool,
+        leads: bool,
     ) -> Vec<Order> {
         const MOST: usize = 200; // keeps the answer's one line below 64 KiB
         let mut orders = Vec::new();
@@ -339,7 +375,7 @@
             let exited = reported.phase == TaskPhase::Exited;
             match self.entries.get(&task) {
                 Some(e) if e.attempt == attempt => {}
-                _ if !may_start => {}
+                _ if !leads => {}
                 _ if exited => {
                     let forget = Order::Forget { task: task.clone(), attempt };
                     if !self.doubtful.contains_key(&(task, attempt)) {
@@ -408,6 +444,23 @@
         (orders, starts)
     }
 
+    /// Orders for a report that another node has answered. Starts among them go directly, the rest may wait for
+    /// the answer to the next report. A start in doubt goes again: it may be that none has arrived.
+    pub fn orders_elsewhere(
+        &mut self,
+        report: &Report,
+        may_start: bool,
+        may_stop: impl Fn(&TaskId) -> bool,
+    ) -> (Vec<Order>, Vec<Order>) {
+        let errands = self.orders(report, false, |task| may_start || may_stop(task), may_start);
+        let again = self.entries.iter().filter(|(_, e)| {
+            let doubtful = matches!(e.state, EntryState::Sent { serial: u64::MAX, .. });
+            may_start && doubtful && e.stop.is_none()
+        });
+        let again = again.map(|(t, e)| Order::Start { task: t.clone(), attempt: e.attempt }).collect();
+        (errands, again)
+    }
+
     /// A direct command's starts were answered: `at` is the session and serial of the answer,
     /// `Some(None)` says that nothing ran, and no answer that they may still run.
     pub fn direct_answered(
@@ -561,7 +614,7 @@
         let (mut m, task) = machine_with(EntryState::Ready);
         let first = report(1, 5, 9, "");
         m.digest(&first, MINE, Time::from_ms(1));
-        assert_eq!(m.orders(&first, true, |_| false).len(), 1);
+        assert_eq!(m.orders(&first, true, |_| false, true).len(), 1);
         assert!(m.stop(&task, 0.0, Time::from_ms(2)).is_none(), "sent: needs proof");
         assert!(m.digest(&report(1, 4, 9, ""), MINE, Time::from_ms(3)).stale);
         let gone = m.digest(&report(1, 6, 9, ""), MINE, Time::from_ms(4)).gone;
@@ -572,9 +625,9 @@
     fn nothing_starts_before_it_is_durable_nor_without_leadership() {
         let (mut m, _) = machine_with(EntryState::Planned);
         let r = report(1, 1, 9, "");
-        assert!(m.orders(&r, true, |_| false).is_empty());
+        assert!(m.orders(&r, true, |_| false, true).is_empty());
         let (mut m, _) = machine_with(EntryState::Ready);
-        assert!(m.orders(&r, false, |_| false).is_empty());
+        assert!(m.orders(&r, false, |_| false, false).is_empty());
     }
 
     #[test]
@@ -582,9 +635,9 @@
         let (mut m, task) = machine_with(EntryState::Running);
         let r = report(1, 1, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"done"}"#);
         assert_eq!(m.digest(&r, MINE, Time::from_ms(1)).done.len(), 1);
-        assert!(m.orders(&r, true, |_| false).is_empty());
+        assert!(m.orders(&r, true, |_| false, true).is_empty());
         m.entries.remove(&task);
-        assert_eq!(m.orders(&r, true, |_| false), [Order::Forget { task, attempt: Attempt(7) }]);
+        assert_eq!(m.orders(&r, true, |_| false, true), [Order::Forget { task, attempt: Attempt(7) }]);
     }
 
     #[test]
@@ -598,10 +651,10 @@
         assert!(m.digest(&report(1, 7, 9, ""), MINE, Time::from_ms(3)).gone.is_empty(), "may come late");
         let ended = report(1, 8, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"stopped"}"#);
         assert_eq!(m.digest(&ended, MINE, Time::from_ms(4)).gone.len(), 1);
-        assert!(m.orders(&ended, true, |_| false).is_empty(), "forgotten, it would start again");
+        assert!(m.orders(&ended, true, |_| false, true).is_empty(), "forgotten, it would start again");
         let next = report(2, 9, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"stopped"}"#);
         m.digest(&next, MINE, Time::from_ms(5));
-        assert_eq!(m.orders(&next, true, |_| false).len(), 1, "a new session ends the doubt");
+        assert_eq!(m.orders(&next, true, |_| false, true).len(), 1, "a new session ends the doubt");
     }
 
     #[test]
@@ -611,6 +664,6 @@
         let digest = m.digest(&r, MINE, Time::from_ms(1));
         assert_eq!(digest.gone.len(), 1, "attempt 7 is not there");
         assert!(!m.open_for_tasks(Time::from_ms(1)));
-        assert!(matches!(m.orders(&r, true, |_| false)[..], [Order::Stop { attempt: Attempt(6), .. }]));
+        assert!(matches!(m.orders(&r, true, |_| false, true)[..], [Order::Stop { attempt: Attempt(6), .. }]));
     }
 }
--- a/crates/scheduler/src/types.rs
+++ b/crates/types/src/lib.rs
@@ -1,4 +1,5 @@
-//! Small types of their own for ids, versions and times.
+//! Small types of their own for ids, versions and times, shared by all packages.
+#![forbid(unsafe_code)]
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -157,6 +158,13 @@
     }
 }
 
+impl std::ops::Add for Span {
+    type Output = Span;
+    fn add(self, o: Span) -> Span {
+        Span(self.0 + o.0)
+    }
+}
+
 /// One task of a job.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub struct TaskId {
