--- a/crates/homes/src/delegate.rs
+++ b/crates/homes/src/delegate.rs
@@ -68,11 +68,12 @@
     hash: u64,
 }
 
-/// When a worker was sent elsewhere, and the newest delegation by then.
+/// When a worker was sent elsewhere, and why.
 #[derive(Debug, Clone, Copy)]
 struct SentOn {
     at: Time,
-    delegated: Time,
+    /// To its home; else on, as no delegation had come since this time.
+    alone_since: Option<Time>,
 }
 
 #[derive(Debug, Clone)]
@@ -197,7 +198,8 @@
         let held = self.held.as_ref()?;
         let fresh = now.since(held.at) < FRESH;
         let home = held.homes.home_of(machine, zone).filter(|home| fresh && **home != self.me).cloned();
-        if (fresh && home.is_none()) || self.came_back(machine, held.at, now) {
+        let alone_since = (!fresh).then_some(held.at);
+        if (fresh && home.is_none()) || self.came_back(machine, alone_since, now) {
             return None;
         }
         let turn = match home {
@@ -206,23 +208,23 @@
             // The leader may be reached from elsewhere. Whoever finds that it isn't comes back.
             None => Turn::On,
         };
-        self.send_on(machine, now);
-        Some(turn)
-    }
-
-    fn came_back(&self, machine: &MachineId, delegated: Time, now: Time) -> bool {
-        self.sent_on.get(machine).is_some_and(|s| s.delegated == delegated || now.since(s.at) < COMES_BACK)
-    }
-
-    fn send_on(&mut self, machine: &MachineId, now: Time) {
-        let delegated = self.held.as_ref().map_or(now, |h| h.at);
-        // While delegations come, the next one must not look like a new beginning.
-        let delegated = if now.since(delegated) < FRESH { Time::default() } else { delegated };
-        self.sent_on.insert(machine.clone(), SentOn { at: now, delegated });
+        self.sent_on.insert(machine.clone(), SentOn { at: now, alone_since });
         // What it says next elsewhere is not known here.
         self.heard.remove(machine);
         self.changed.remove(machine);
         self.same.remove(machine);
+        Some(turn)
+    }
+
+    /// Whether it was sent elsewhere for the same reason before, and so found nobody there. One that was sent
+    /// home and comes from there because that node has lost the leader too has not: it must go on until it
+    /// meets the leader (440 machines were answered by nodes that the leader did not hear, and given up; andina
+    /// fleet, apart).
+    fn came_back(&self, machine: &MachineId, alone_since: Option<Time>, now: Time) -> bool {
+        self.sent_on.get(machine).is_some_and(|s| match alone_since {
+            Some(_) => s.alone_since == alone_since,
+            None => s.alone_since.is_none() && now.since(s.at) < COMES_BACK,
+        })
     }
 
     fn may_move(&mut self, now: Time) -> bool {
@@ -289,7 +291,8 @@
         self.next_prune = now + Span::ms(5000);
         self.heard.retain(|_, r| now.since(r.heard) < COMES_BACK);
         let delegated = self.held.as_ref().map(|h| h.at);
-        self.sent_on.retain(|_, s| now.since(s.at) < COMES_BACK || Some(s.delegated) == delegated);
+        let lasts = |s: &SentOn| s.alone_since.is_some() && s.alone_since == delegated;
+        self.sent_on.retain(|_, s| now.since(s.at) < COMES_BACK || lasts(s));
     }
 }
 
@@ -352,6 +355,17 @@
         assert_eq!(report(&mut d, 3, 5, "", 5, T(31_500)), Turn::Home("b".into()), "b may be back");
     }
 
+    /// It was sent home shortly before all nodes lost the leader, came from there, and was taken for one that
+    /// had found nobody.
+    #[test]
+    fn a_worker_that_comes_from_a_home_without_the_leader_is_sent_on() {
+        let mut d = Delegate::new("a".into());
+        d.granted(&"l".into(), delegation(5, 1, "b"), T(0));
+        assert_eq!(report(&mut d, 1, 5, "", 5, T(2_000)), Turn::Home("b".into()));
+        assert_eq!(report(&mut d, 3, 5, "", 5, T(8_000)), Turn::On);
+        assert_eq!(report(&mut d, 4, 5, "", 5, T(20_000)), Turn::Answer(Fence(5)));
+    }
+
     #[test]
     fn digests_tell_changes_in_full_and_the_rest_by_hash() {
         let mut d = Delegate::new("a".into());
--- a/crates/homes/src/hub.rs
+++ b/crates/homes/src/hub.rs
@@ -11,8 +11,11 @@
 const SLACK: Span = Span::ms(1500);
 /// Delegations whose time is remembered.
 const BEATS: usize = 128;
-/// How old a node's last digest may be for orders to go through it.
+/// How old a node's last digest may be for orders to go through it, and the delegation that it names.
 const FRESH: Span = Span::ms(1500);
+const DELEGATED: Span = Span::ms(3500);
+/// How long a node has to send its first digest before it is home to none.
+const GRACE: Span = Span::ms(4000);
 /// Weight of a node; the leader has its rounds and commits besides.
 const WEIGHT: u16 = 100;
 const LEADERS_WEIGHT: u16 = 40;
@@ -49,7 +52,10 @@
     beat: u64,
     sent: VecDeque<(u64, Time)>,
     next: Time,
-    digests: BTreeMap<NodeName, Time>,
+    /// When a node's last digest came, and when the delegation had left that it named.
+    digests: BTreeMap<NodeName, (Time, Time)>,
+    /// Since when nodes have been there for a leader that is ready.
+    listed: BTreeMap<NodeName, Time>,
     known: BTreeMap<MachineId, Known>,
     wanted: BTreeMap<NodeName, BTreeSet<MachineId>>,
     weights: BTreeMap<NodeName, u16>,
@@ -70,6 +76,7 @@
             sent: VecDeque::new(),
             next: now,
             digests: BTreeMap::new(),
+            listed: BTreeMap::new(),
             known: BTreeMap::new(),
             wanted: BTreeMap::new(),
             weights: BTreeMap::new(),
@@ -105,9 +112,16 @@
             self.sent.pop_front();
         }
         self.balance(live, now);
+        self.listed.retain(|node, _| live.iter().any(|(n, _)| n == node));
+        if ready {
+            live.iter().for_each(|(node, _)| {
+                self.listed.entry(node.clone()).or_insert(now);
+            });
+        }
         let place = |(node, zone): &(NodeName, Zone)| {
             let first = if *node == self.me { LEADERS_WEIGHT } else { WEIGHT };
             let weight = self.weights.get(node).copied().unwrap_or(first);
+            let weight = if self.is_deaf(node, now) { 0 } else { weight };
             Place { node: node.clone(), zone: zone.clone(), weight }
         };
         let homes = Homes::new(live.iter().map(place).collect());
@@ -159,7 +173,17 @@
     }
 
     fn is_fresh(&self, node: &NodeName, now: Time) -> bool {
-        self.digests.get(node).is_some_and(|at| now.since(*at) < FRESH)
+        let fresh = |(at, beat): &(Time, Time)| now.since(*at) < FRESH && now.since(*beat) < DELEGATED;
+        self.digests.get(node).is_some_and(fresh)
+    }
+
+    /// Whether a node that is there does not get what is sent to it, or what it sends gets lost: then it must be
+    /// home to none. (Connections to a node were refused that had one back: it answered, told of it under a
+    /// delegation long past, and 440 machines that it heard were given up; andina fleet, apart.)
+    fn is_deaf(&self, node: &NodeName, now: Time) -> bool {
+        *node != self.me
+            && self.listed.get(node).is_some_and(|since| now.since(*since) >= GRACE)
+            && !self.is_fresh(node, now)
     }
 
     /// A report that came to the leader itself.
@@ -197,11 +221,11 @@
         if digest.fence != self.fence {
             return Vec::new();
         }
-        self.digests.insert(from.clone(), now);
         // A digest that a cut has held back says with its beat how old it is at least.
         let Some(beat) = self.sent.iter().find(|(beat, _)| *beat == digest.beat).map(|(_, at)| *at) else {
             return Vec::new();
         };
+        self.digests.insert(from.clone(), (now, beat));
         let heard = |age: Span| now.before(age).min(beat + SLACK);
         let mut out = Vec::new();
         for full in digest.full {
@@ -348,12 +372,35 @@
         assert_eq!(hub.detour(&"m".into(), T(1_200)), None, "straight, for once");
         hub.digest(&"b".into(), digest(vec![], vec![]), T(4_000));
         assert_eq!(hub.detour(&"m".into(), T(4_000)), Some(&"b".into()));
+        hub.digest(&"b".into(), digest(vec![], vec![]), T(5_000));
+        assert_eq!(hub.detour(&"m".into(), T(5_000)), None, "b is heard, and hears nothing");
         hub.reported_here(&"m".into(), stamped(2), b"x".to_vec());
         assert_eq!(hub.detour(&"m".into(), T(1_200)), Some(&"a".into()), "this node may have lost it");
         assert_eq!(hub.route(&"m".into(), T(1_200)), None);
         assert_eq!(hub.route(&"unheard".into(), T(1_200)), None);
     }
 
+    /// Its digests came, under a delegation long past: it was home to a third of all machines, and no order and
+    /// no delegation reached it.
+    #[test]
+    fn a_node_that_hears_nothing_is_home_to_none_until_it_does() {
+        let (mut hub, _) = hub();
+        let live = [("l".into(), "x".into()), ("a".into(), "y".into()), ("b".into(), "z".into())];
+        let weights = |d: &Delegation| d.homes.places().iter().map(|p| p.weight > 0).collect::<Vec<_>>();
+        let mut last = Vec::new();
+        for second in 2..10 {
+            for (node, beat) in [("a", second - 1), ("b", 1)] {
+                let told = Digest { beat, ..digest(vec![], vec![]) };
+                hub.digest(&node.into(), told, T(second * 1_000 - 100));
+            }
+            last = weights(&hub.delegation(&live, true, T(second * 1_000)).expect("due"));
+            assert!(second > 4 || last == [true; 3], "it has some time");
+        }
+        assert_eq!(last, [true, false, true], "a, b, l");
+        hub.digest(&"b".into(), Digest { beat: 9, ..digest(vec![], vec![]) }, T(9_900));
+        assert_eq!(weights(&hub.delegation(&live, true, T(10_000)).expect("due")), [true; 3]);
+    }
+
     #[test]
     fn a_node_with_far_more_than_its_share_gets_a_lower_weight() {
         let (mut hub, first) = hub();
@@ -366,6 +413,13 @@
             let all = vec![Full { machine, ..full(1, "x") }];
             hub.digest(&if i < 380 { "a" } else { "b" }.into(), digest(all, vec![]), T(1_100));
         }
+        for second in 2..12 {
+            hub.delegation(&live, true, T(second * 1_000));
+            for node in ["a", "b"] {
+                let told = Digest { beat: second, ..digest(vec![], vec![]) };
+                hub.digest(&node.into(), told, T(second * 1_000 + 500));
+            }
+        }
         let later = hub.delegation(&live, true, T(12_000)).expect("due");
         assert!(weight(&later, "a") < weight(&first, "a") && weight(&later, "b") > weight(&first, "b"));
     }
--- a/crates/pearford/src/shell.rs
+++ b/crates/pearford/src/shell.rs
@@ -35,6 +35,9 @@
 const CONNECT_PATIENCE: Duration = Duration::from_millis(1000);
 const ANSWER_PATIENCE: Duration = Duration::from_secs(10);
 const PEER_RETRY: Duration = Duration::from_millis(300);
+/// How long a connection to a worker, the cloud or the state service is kept without use. Orders to a worker come
+/// together; with 20 s a large fleet's took half of all sockets.
+const POOL_IDLE: Duration = Duration::from_secs(4);
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -96,7 +99,7 @@
     connector.set_connect_timeout(Some(CONNECT_PATIENCE));
     let client: HttpClient = Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(Duration::from_secs(20))
+        .pool_idle_timeout(POOL_IDLE)
         .pool_max_idle_per_host(8)
         .build(connector);
 
@@ -265,7 +268,9 @@
     accept(listener, connections, TowerToHyperService::new(warp::service(filter))).await;
 }
 
-/// Serves what connects, as many at a time as there are permits.
+/// Serves what connects, as many at a time as there are permits. What is over that waits: closed at once it came
+/// back at once, and under overload all nodes did nothing but open connections (andina fleet at 4 times, restart:
+/// 0.28 -> 0.15).
 async fn accept<S, B>(listener: TcpListener, connections: Arc<Semaphore>, service: S)
 where
     S: hyper::service::Service<http::Request<hyper::body::Incoming>, Response = http::Response<B>>,
