--- a/crates/homes/src/hub.rs
+++ b/crates/homes/src/hub.rs
@@ -62,7 +62,7 @@
     next_balance: Time,
     /// Decides about the leader's own reports, as any node does.
     own: Delegate,
-    #[cfg(any(test, feature = "sabotage"))]
+    #[cfg(test)]
     trusts_all: bool,
 }
 
@@ -81,21 +81,21 @@
             wanted: BTreeMap::new(),
             weights: BTreeMap::new(),
             next_balance: now + BALANCE_EVERY,
-            #[cfg(any(test, feature = "sabotage"))]
+            #[cfg(test)]
             trusts_all: false,
         }
     }
 
     /// Takes the guard out that a report told as the same as before is that of the same content.
-    #[cfg(any(test, feature = "sabotage"))]
+    #[cfg(test)]
     pub fn trust_all(&mut self) {
         self.trusts_all = true;
     }
 
     fn trusts(&self) -> bool {
-        #[cfg(any(test, feature = "sabotage"))]
+        #[cfg(test)]
         return self.trusts_all;
-        #[cfg(not(any(test, feature = "sabotage")))]
+        #[cfg(not(test))]
         false
     }
 
@@ -119,8 +119,7 @@
             });
         }
         let place = |(node, zone): &(NodeName, Zone)| {
-            let first = if *node == self.me { LEADERS_WEIGHT } else { WEIGHT };
-            let weight = self.weights.get(node).copied().unwrap_or(first);
+            let weight = self.weights.get(node).copied().unwrap_or(self.first_weight(node));
             let weight = if self.is_deaf(node, now) { 0 } else { weight };
             Place { node: node.clone(), zone: zone.clone(), weight }
         };
@@ -131,6 +130,10 @@
         Some(delegation)
     }
 
+    fn first_weight(&self, node: &NodeName) -> u16 {
+        if *node == self.me { LEADERS_WEIGHT } else { WEIGHT }
+    }
+
     /// Lowers the weight of nodes that have far more machines than the others, and raises it where it was
     /// lowered too far: zones differ in how many machines they have.
     fn balance(&mut self, live: &[(NodeName, Zone)], now: Time) {
@@ -145,19 +148,19 @@
                 *n += 1.0;
             }
         }
-        let first = |node: &NodeName| if *node == self.me { LEADERS_WEIGHT } else { WEIGHT };
         let all: f64 = counts.values().sum();
-        let sum: f64 = live.iter().map(|(n, _)| f64::from(first(n))).sum();
+        let sum: f64 = live.iter().map(|(n, _)| f64::from(self.first_weight(n))).sum();
         // With few machines chance decides, and nothing is gained.
         if all < 50.0 * live.len() as f64 || sum <= 0.0 {
             return;
         }
         for (node, n) in counts {
-            let share = all * f64::from(first(node)) / sum;
-            let weight = f64::from(self.weights.get(node).copied().unwrap_or(first(node)));
+            let first = self.first_weight(node);
+            let share = all * f64::from(first) / sum;
+            let weight = f64::from(self.weights.get(node).copied().unwrap_or(first));
             let next = match n / share.max(1.0) {
-                r if r > UNEVEN => (weight * STEP).max(f64::from(first(node)) / 10.0),
-                r if r < 1.0 / UNEVEN => (weight / STEP).min(f64::from(first(node)) * 2.0),
+                r if r > UNEVEN => (weight * STEP).max(f64::from(first) / 10.0),
+                r if r < 1.0 / UNEVEN => (weight / STEP).min(f64::from(first) * 2.0),
                 _ => continue,
             };
             self.weights.insert(node.clone(), next.round() as u16);
--- a/crates/scheduler/src/node/master/calls.rs
+++ b/crates/scheduler/src/node/master/calls.rs
@@ -4,7 +4,7 @@
 use pearford_homes::Stamped;
 
 /// How long a worker has to answer an order.
-const WORKER_PATIENCE: Span = Span::ms(3000);
+pub(super) const WORKER_PATIENCE: Span = Span::ms(3000);
 const PROBE_PATIENCE: Span = Span::ms(1500);
 /// Workers that are told the fence directly at a time.
 const PUSHES_AT_ONCE: usize = 8;
--- a/crates/scheduler/src/node/master/homes.rs
+++ b/crates/scheduler/src/node/master/homes.rs
@@ -113,7 +113,7 @@
             // In doubt until the worker's session ends, whatever becomes of this one.
             let body = workers::command(self.fence, m.session, &again);
             let (machine, session) = (id.clone(), m.session);
-            let op = self.ask(ctx, &machine, addr, body, Span::ms(3000));
+            let op = self.ask(ctx, &machine, addr, body, calls::WORKER_PATIENCE);
             self.directs.insert(op, DirectCall { machine, session, starts: Vec::new() });
         }
     }
