A leader's own work leaves it its grant: inputs first, looks and plans paced by their cost

Traced per input: single looks at what waits took 0.25 to 1 s of a leader's processor, ten times a second, since nearly all of 4,700 machines had room and each ask went through all of them; and the state service's answers waited behind thousands of requests.

- the shell gives the core answers and peers' messages before requests, and turns stale requests away;
- a look goes by at most 512 machines, of every zone, type and kind, and asks for their block once;
- looks may take a quarter of the time, plans of rentals a tenth, as measured step by step (crates/recovery: Pace).

--- a/crates/pearford/src/shell.rs
+++ b/crates/pearford/src/shell.rs
@@ -24,8 +24,14 @@
 use warp::Filter;
 
 const TICK: Duration = Duration::from_millis(50);
-/// Inputs that may wait for the core; senders wait beyond that.
+/// Inputs that may wait for the core: answers and peers' messages, for which senders wait beyond that, and requests,
+/// which are turned away.
 const QUEUE: usize = 4096;
+const REQUESTS: usize = 2048;
+/// A request that has waited this long for the core is turned away: whoever asked has nearly given up, and the time
+/// goes to those that haven't. (Four times the andina fleet after all nodes crashed: the state service's answers
+/// waited behind thousands of requests, the leader lost its grant every ten seconds, and the next began again.)
+const REQUEST_STALE: Duration = Duration::from_millis(1500);
 /// Messages that may wait for one peer; later ones are dropped, all are repeated or void soon.
 const PEER_QUEUE: usize = 64;
 const MAX_FRAME: usize = 1024 * 1024;
@@ -64,18 +70,29 @@
     pub patience: Duration,
 }
 
+/// What the core is given. Inputs go before requests: the grant, the beat and the peers' part in rounds must not wait
+/// behind users and workers, however many come.
 enum Message {
     Input(Input),
     Http { method: Method, path: String, body: Vec<u8>, reply: oneshot::Sender<Reply> },
     Call { slot: usize, call: Call, reply: oneshot::Sender<Reply> },
 }
 
+/// A request on its way to the core, and since when.
+struct Asked {
+    at: Instant,
+    message: Message,
+}
+
+type Requests = mpsc::Sender<Asked>;
+
 /// Runs the node until its process is killed.
 pub async fn run(settings: Settings, doors: Vec<Door>) -> std::io::Result<()> {
     let settings = Arc::new(settings);
     let api = TcpListener::bind(settings.api_addr).await?;
     let back = TcpListener::bind(settings.peer_addr).await?;
-    let (tx, mut rx) = mpsc::channel::<Message>(QUEUE);
+    let (tx, mut inputs) = mpsc::channel::<Message>(QUEUE);
+    let (requests, mut asked) = mpsc::channel::<Asked>(REQUESTS);
 
     // Some sockets stay for the state service, cloud, workers and peers.
     let spare = (settings.limits.max_connections / 5).clamp(8, 300);
@@ -86,10 +103,10 @@
         // Users and workers keep half, however many a door asks for.
         let connections = door.connections.min(left / 2).max(1);
         left -= connections;
-        tokio::spawn(serve_door(listener, connections, slot, door.patience, tx.clone()));
+        tokio::spawn(serve_door(listener, connections, slot, door.patience, requests.clone()));
         core = core.with_feature(door.feature);
     }
-    tokio::spawn(serve_api(api, Arc::new(Semaphore::new(left)), tx.clone()));
+    tokio::spawn(serve_api(api, Arc::new(Semaphore::new(left)), requests));
     tokio::spawn(serve_peers(back, settings.peers.len() * 4 + 4, tx.clone()));
     let peers: HashMap<NodeName, mpsc::Sender<Vec<u8>>> =
         settings.peers.iter().map(|p| (p.name.clone(), dial_peer(p.clone()))).collect();
@@ -104,11 +121,13 @@
         .build(connector);
 
     let start = Instant::now();
-    let clock = || Now {
+    let clock = |took: Duration| Now {
         // Starts above 0, so that "never" lies in the past.
         steady: Time::from_ms(start.elapsed().as_millis() as u64 + 1_000_000),
         wall: Wall(SystemTime::now().duration_since(UNIX_EPOCH).map(|d| d.as_millis() as u64).unwrap_or(0)),
+        took: Span::ms(took.as_millis() as u64),
     };
+    let mut took = Duration::ZERO;
     let mut answers: HashMap<OpId, oneshot::Sender<Reply>> = HashMap::new();
     let mut next_request = 0;
     let mut ticks = tokio::time::interval(TICK);
@@ -117,7 +136,14 @@
         let message = tokio::select! {
             biased;
             _ = ticks.tick() => Message::Input(Input::Tick),
-            Some(message) = rx.recv() => message,
+            Some(message) = inputs.recv() => message,
+            Some(Asked { at, message }) = asked.recv() => match at.elapsed() < REQUEST_STALE {
+                true => message,
+                false => {
+                    turn_away(message);
+                    continue;
+                }
+            },
         };
         let input = match message {
             Message::Input(input) => input,
@@ -134,7 +160,10 @@
                 Input::Call { slot, request, call }
             }
         };
-        for effect in core.step(clock(), input) {
+        let began = Instant::now();
+        let effects = core.step(clock(took), input);
+        took = began.elapsed();
+        for effect in effects {
             match effect {
                 Effect::Answer { request, status, retry_after_s, headers, body } => {
                     if let Some(reply) = answers.remove(&request) {
@@ -155,6 +184,14 @@
     }
 }
 
+/// Answers a request that the core will not look at.
+fn turn_away(message: Message) {
+    if let Message::Http { reply, .. } | Message::Call { reply, .. } = message {
+        // The asker may have gone meanwhile; nothing is left to do then.
+        let _ = reply.send(Reply::error(503, Some(2), "too many requests wait here; come back"));
+    }
+}
+
 /// Makes an HTTP call of the core's beside the loop; its answer comes back as an input.
 fn call(effect: Effect, client: &HttpClient, settings: &Settings, tx: &mpsc::Sender<Message>) {
     let (client, tx) = (client.clone(), tx.clone());
@@ -220,7 +257,7 @@
 
 // ---- users and workers ----
 
-async fn serve_api(listener: TcpListener, connections: Arc<Semaphore>, tx: mpsc::Sender<Message>) {
+async fn serve_api(listener: TcpListener, connections: Arc<Semaphore>, tx: Requests) {
     let filter = warp::any()
         .and(warp::method())
         .and(warp::path::full())
@@ -239,7 +276,7 @@
     connections: usize,
     slot: usize,
     patience: Duration,
-    tx: mpsc::Sender<Message>,
+    tx: Requests,
 ) {
     let filter = warp::any()
         .and(warp::method())
@@ -314,7 +351,7 @@
     (method, path, query, token): (http::Method, String, String, Option<String>),
     length: Option<u64>,
     body: impl Stream<Item = Result<impl Buf, warp::Error>>,
-    tx: mpsc::Sender<Message>,
+    tx: Requests,
 ) -> http::Response<String> {
     let body = match read_body(length, body).await {
         Ok(body) => body,
@@ -334,12 +371,12 @@
 
 /// Puts a request to the core and waits for its answer.
 async fn ask(
-    tx: mpsc::Sender<Message>,
+    tx: Requests,
     message: Message,
     answer: oneshot::Receiver<Reply>,
     patience: Duration,
 ) -> http::Response<String> {
-    if tx.try_send(message).is_err() {
+    if tx.try_send(Asked { at: Instant::now(), message }).is_err() {
         return respond(Reply::error(503, Some(1), "too many requests wait here; come back"), false);
     }
     match timeout(patience, answer).await {
@@ -353,7 +390,7 @@
     path: String,
     length: Option<u64>,
     body: impl Stream<Item = Result<impl Buf, warp::Error>>,
-    tx: mpsc::Sender<Message>,
+    tx: Requests,
 ) -> http::Response<String> {
     let body = match read_body(length, body).await {
         Ok(body) => body,
--- /dev/null
+++ b/crates/recovery/src/pace.rs
@@ -0,0 +1,69 @@
+//! How often work that can be put off is done, by what it was measured to cost.
+
+use pearford_types::{Span, Time};
+
+/// A piece of work that comes again and again: at most so often, and within a share of the processor.
+///
+/// What a leader does on its own account (going through all that waits, planning rentals) grows with the fleet. Done
+/// ten times a second whatever it costs, it took all of a leader's processor just after a take-over at four times the
+/// machines, the grant was not renewed, and the next leader began again.
+#[derive(Debug, Clone)]
+pub struct Pace {
+    every: Span,
+    /// For each part of time that the work takes, so many parts go to all else.
+    rest: f64,
+    next: Time,
+    /// It was done in the step before this one, whose cost isn't known yet.
+    done: bool,
+}
+
+impl Pace {
+    pub fn new(every: Span, rest: f64, first: Time) -> Self {
+        Self { every, rest, next: first, done: false }
+    }
+
+    pub fn due(&self, now: Time) -> bool {
+        now >= self.next
+    }
+
+    /// The work is done in this step.
+    pub fn begins(&mut self, now: Time) {
+        self.next = now + self.every;
+        self.done = true;
+    }
+
+    /// The step before this one took `cost`, by the clock.
+    pub fn cost(&mut self, cost: Span, now: Time) {
+        if std::mem::take(&mut self.done) {
+            self.next = self.next.max(now + cost.times(self.rest));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const T: fn(u64) -> Time = Time::from_ms;
+
+    #[test]
+    fn costly_work_leaves_its_rest_to_others_and_cheap_work_comes_as_often_as_it_may() {
+        let mut pace = Pace::new(Span::ms(100), 3.0, T(0));
+        let (mut now, mut worked) = (0, 0);
+        while now < 30_000 {
+            let cost = if now < 15_000 { 5 } else { 400 };
+            if pace.due(T(now)) {
+                pace.begins(T(now));
+                worked += cost;
+                now += cost;
+                pace.cost(Span::ms(cost), T(now));
+            } else {
+                // Steps without the work say nothing of its cost.
+                pace.cost(Span::ms(900), T(now));
+                now += 1;
+            }
+        }
+        let cheap = 15_000 / 105 * 5;
+        assert!((cheap..cheap + 15_000 / 4 + 500).contains(&worked), "{worked} ms");
+    }
+}
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -43,6 +43,7 @@
     rng: StdRng,
     now: Time,
     wall: Wall,
+    took: Span,
     out: Outbox,
     mirror: Mirror,
     follower: Follower,
@@ -85,6 +86,7 @@
             rng: StdRng::seed_from_u64(seed),
             now: Time::default(),
             wall: Wall(0),
+            took: Span::default(),
             out: Outbox::new(settings.node.clone()),
             mirror: Mirror::default(),
             follower: Follower::new(Whose::Jobs, jobs::PREFIX, read_pause(&settings)),
@@ -118,6 +120,7 @@
     pub fn step(&mut self, now: Now, input: Input) -> Vec<Effect> {
         self.now = now.steady;
         self.wall = now.wall;
+        self.took = now.took;
         if !self.started {
             self.started = true;
             tracing::info!(node = %self.settings.node, "started");
@@ -159,6 +162,7 @@
         let master = self.master.as_mut()?;
         let ctx = Ctx {
             now: self.now,
+            took: self.took,
             valid: self.seat.valid(self.now),
             holds: self.seat.leads(),
             fresh_at: self.follower.fresh_at(),
--- a/crates/scheduler/src/node/master/cloud.rs
+++ b/crates/scheduler/src/node/master/cloud.rs
@@ -30,7 +30,8 @@
             self.next_types = now + TYPES_EVERY;
             ctx.catalogue.refresh(ctx.out);
         }
-        let (returns, rentals) = (self.returns(now), self.rentals(now));
+        let returns = self.returns(now);
+        let rentals = if self.plans.due(now) { self.rentals(now) } else { Vec::new() };
         if list {
             self.call(ctx, CloudRequest::List { after: None, most: LIST_PAGE }, CloudOp::List);
         }
--- /dev/null
+++ b/crates/scheduler/src/node/master/field.rs
@@ -0,0 +1,83 @@
+//! The machines that a look at what waits goes by: those with room, or a part of them where they are many.
+
+use super::*;
+
+/// Machines in one look. Of a busy fleet fewer have room. Just after leases have ended nearly all have, and going
+/// through them for each ask took a second of a leader's processor (four times the andina fleet, all nodes crashed).
+const MOST: usize = 512;
+
+/// What a look goes by.
+pub(super) struct Field {
+    pub views: Vec<MachineView>,
+    /// Whose block each is in.
+    pub owners: Vec<Option<NodeName>>,
+    /// These are all that have room: what fits none of them fits nowhere.
+    pub whole: bool,
+}
+
+impl Field {
+    /// The machines in a controller's block.
+    pub fn of(&self, node: &NodeName) -> impl Iterator<Item = &MachineView> {
+        let owned = self.views.iter().zip(&self.owners);
+        owned.filter(move |(_, owner)| owner.as_ref() == Some(node)).map(|(v, _)| v)
+    }
+}
+
+impl Master {
+    /// Machines that could take some task of `asks`: of a busy fleet that is a small part.
+    pub(super) fn open_field(&mut self, asks: &[TaskAsk], now: Time) -> Field {
+        let least = |of: fn(&Room) -> f64| asks.iter().map(|a| of(&a.room)).fold(f64::MAX, f64::min);
+        let least =
+            Room { cpus: least(|r| r.cpus), gpus: least(|r| r.gpus), memory_gb: least(|r| r.memory_gb) };
+        // One whose record can't hold the largest entry is left out: offered, it would be chosen in vain.
+        let last_task =
+            |a: &TaskAsk| TaskId { job: a.job.clone(), index: a.tasks.last().copied().unwrap_or(0) };
+        let bytes = asks
+            .iter()
+            .filter_map(|a| self.runs.get(&a.job).map(|r| self.entry_bytes(&last_task(a), &r.job.spec)));
+        let (bytes, limit) = (bytes.max().unwrap_or(0), self.settings.state.value_bytes);
+        let asked: BTreeSet<&Image> = asks.iter().map(|a| &a.image).collect();
+        let mut open = Vec::new();
+        for m in self.machines.values().filter(|m| m.standing == Standing::Up) {
+            if !least.fits_in(&m.free()) || !m.open_for_tasks(now) || !m.record_holds(bytes, limit) {
+                continue;
+            }
+            let health = self.health(m, now);
+            if health != Health::Unreachable {
+                open.push((m, health));
+            }
+        }
+        let whole = open.len() <= MOST;
+        if !whole {
+            open = part_of(open, &asked);
+        }
+        let views: Vec<MachineView> =
+            open.into_iter().map(|(m, health)| self.view(m, health, &asked, now)).collect();
+        let owners = views.iter().map(|v| {
+            self.blocks.add(&v.id);
+            self.blocks.owner(&v.id).cloned()
+        });
+        Field { owners: owners.collect(), views, whole }
+    }
+}
+
+/// A part of `open` that has some of each zone, type and kind; of those first the ones with an image asked for and the
+/// fullest, and as many of the emptiest, for work that needs a whole machine.
+fn part_of<'a>(open: Vec<(&'a Machine, Health)>, asked: &BTreeSet<&Image>) -> Vec<(&'a Machine, Health)> {
+    let mut groups: BTreeMap<(&Zone, &crate::types::TypeName, bool), Vec<(&Machine, Health)>> =
+        BTreeMap::new();
+    for (m, health) in open {
+        groups.entry((&m.zone, &m.type_name, m.spot)).or_default().push((m, health));
+    }
+    let quota = (MOST / groups.len().max(1)).max(2);
+    let mut out = Vec::new();
+    for mut group in groups.into_values() {
+        let ready = |m: &Machine| m.images.iter().any(|(image, _)| asked.contains(image));
+        group.sort_by_cached_key(|(m, _)| (!ready(m), (m.free().gpus * 1000.0) as u64));
+        let rest = group.split_off(quota.min(group.len()) / 2);
+        out.append(&mut group);
+        let from = rest.len().saturating_sub(quota - quota / 2);
+        out.extend_from_slice(&rest[from..]);
+    }
+    out
+}
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod cloud;
 mod commits;
+mod field;
 mod homes;
 mod load;
 mod offers;
@@ -40,6 +41,7 @@
 use crate::workers::{Digest, Health, Machine, Outcome, Standing};
 use cloud::CloudOp;
 use pearford_homes::{Full, Hub};
+use pearford_recovery::Pace;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::cmp::Reverse;
@@ -47,6 +49,9 @@
 use std::sync::Arc;
 
 const HOUSEKEEPING_EVERY: Span = Span::ms(500);
+/// Parts of time that looks at what waits, and plans of what to rent, leave to all else for each that they take.
+const LOOKS_REST: f64 = 3.0;
+const PLANS_REST: f64 = 9.0;
 const RETRY_EVERY: Span = Span::ms(2000);
 /// How old the last look at the job records may be for starts to leave.
 const START_FRESHNESS: Span = Span::ms(5000);
@@ -58,6 +63,8 @@
 /// What the leader's part may use of its node in a step.
 pub(super) struct Ctx<'a> {
     pub now: Time,
+    /// How long the step before this one took.
+    pub took: Span,
     /// The tenure is valid: orders, commits and rentals may leave.
     pub valid: bool,
     /// The node holds the lead as far as it knows, validly or only holding on.
@@ -147,7 +154,8 @@
     /// Beats sent so far, and jobs that have moved since the last one.
     beats: u64,
     touched: BTreeSet<JobId>,
-    next_offers: Time,
+    looks: Pace,
+    plans: Pace,
     cloud_ops: BTreeMap<OpId, CloudOp>,
     cloud_calls: Budget,
     list_after: Option<MachineId>,
@@ -249,9 +257,8 @@
             .collect()
     }
 
-    /// A machine as controllers see it for `asks`; of its images they need to know no others.
-    fn view(&self, m: &Machine, health: Health, asks: &[TaskAsk], now: Time) -> MachineView {
-        let asked = |image: &Image| asks.iter().any(|a| a.image == *image);
+    /// A machine as controllers see it; of its images they need to know those asked for.
+    fn view(&self, m: &Machine, health: Health, asked: &BTreeSet<&Image>, now: Time) -> MachineView {
         MachineView {
             id: m.id.clone(),
             type_name: m.type_name.clone(),
@@ -262,7 +269,7 @@
             empty: m.is_empty(),
             health,
             fetching: self.fetching(m),
-            images: m.images.iter().map(|(i, _)| i).filter(|i| asked(i)).cloned().collect(),
+            images: m.images.iter().map(|(i, _)| i).filter(|i| asked.contains(i)).cloned().collect(),
             fetch_gb_per_s: self.market.type_of(&m.type_name).map_or(0.0, |t| t.fetch_gb_per_s),
             held_for: m.held_for(now).cloned(),
         }
@@ -351,7 +358,8 @@
             learned: Vec::new(),
             beats: 0,
             touched: BTreeSet::new(),
-            next_offers: now,
+            looks: Pace::new(offers::LOOK_EVERY, LOOKS_REST, now),
+            plans: Pace::new(HOUSEKEEPING_EVERY, PLANS_REST, now),
             cloud_ops: BTreeMap::new(),
             cloud_calls: Budget::new(settings.cloud.rps * 0.7),
             list_after: None,
@@ -451,6 +459,8 @@
 
     /// After any input: writes what is new, then offers what waits.
     pub(super) fn pump(&mut self, ctx: &mut Ctx) {
+        self.looks.cost(ctx.took, ctx.now);
+        self.plans.cost(ctx.took, ctx.now);
         if !ctx.valid {
             return;
         }
--- a/crates/scheduler/src/node/master/offers.rs
+++ b/crates/scheduler/src/node/master/offers.rs
@@ -4,18 +4,18 @@
 
 /// How often what waits is looked through for rounds. Going through it after every input took
 /// most of a leader's processor share with hundreds of machines.
-const OFFERS_EVERY: Span = Span::ms(100);
+pub(super) const LOOK_EVERY: Span = Span::ms(100);
 /// After this long a controller that let a round time out is offered work again.
 const SLOW_PAUSE: Span = Span::ms(3000);
 
 impl Master {
     pub(super) fn offer_rounds(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
-        if now < self.next_offers || !self.may_start(ctx) {
+        if !self.looks.due(now) || !self.may_start(ctx) {
             return;
         }
         let me = self.settings.node.clone();
-        self.next_offers = now + OFFERS_EVERY;
+        self.looks.begins(now);
         let mut live = ctx.peers.live(now);
         live.retain(|n| self.slow_until.get(n).is_none_or(|until| *until <= now));
         live.insert(me.clone());
--- a/crates/scheduler/src/node/master/rounds.rs
+++ b/crates/scheduler/src/node/master/rounds.rs
@@ -1,5 +1,6 @@
 //! Rounds: what waits, who places it, and the leader's check.
 
+use super::field::Field;
 use super::*;
 
 /// What an ask of the look under way counts on in its controller's block.
@@ -126,7 +127,7 @@
         if asks.is_empty() {
             return Vec::new();
         }
-        let mut views = self.open_views(&asks, now);
+        let mut field = self.open_field(&asks, now);
         let mut by_node: BTreeMap<NodeName, Vec<TaskAsk>> = BTreeMap::new();
         let mut claims: Vec<Claim> = Vec::new();
         let mut scans = PREEMPTIONS_AT_ONCE;
@@ -140,19 +141,19 @@
                 continue;
             }
             if ask.shape == Shape::Service {
-                let kept = self.keep_for_image(&ask, &views, &mut scans, now) as usize;
+                let kept = self.keep_for_image(&ask, &field.views, &mut scans, now) as usize;
                 ask.tasks.truncate(ask.tasks.len() - kept.min(ask.tasks.len()));
                 if ask.tasks.is_empty() {
                     continue;
                 }
             }
             // What fits nowhere is not offered: a round's answer would only say the same.
-            if !self.make_fit(&home, &ask, &views, &mut claims) {
-                if scans > 0 {
+            if !self.make_fit(&home, &ask, &mut field, &mut claims) {
+                if scans > 0 && field.whole {
                     scans -= usize::from(self.preempt(&ask, now));
                 }
                 if ask.shape == Shape::Gang && ask.tasks.len() > 1 {
-                    self.hold_for_gang(&ask, &mut views, now);
+                    self.hold_for_gang(&ask, &mut field.views, now);
                 }
                 continue;
             }
@@ -161,12 +162,8 @@
         let mut rounds = Vec::new();
         for (node, asks) in by_node {
             let Some(id) = self.blocks.get(&node).map(|b| b.id) else { continue };
-            let machines: Vec<MachineView> = views
-                .iter()
-                .filter(|v| self.blocks.owner(&v.id) == Some(&node))
-                .filter(|v| asks.iter().any(|a| a.allows(v)))
-                .cloned()
-                .collect();
+            let machines = field.of(&node).filter(|v| asks.iter().any(|a| a.allows(v)));
+            let machines: Vec<MachineView> = machines.cloned().collect();
             for ask in &asks {
                 if let Some(run) = self.runs.get_mut(&ask.job) {
                     run.offered = ask.tasks.len() as u32;
@@ -178,39 +175,10 @@
     }
 
     /// What an entry of the job's tasks takes in a record, whichever attempt it will be.
-    fn entry_bytes(&self, task: &TaskId, spec: &JobSpec) -> usize {
+    pub(super) fn entry_bytes(&self, task: &TaskId, spec: &JobSpec) -> usize {
         ledger::entry_bytes(task, Attempt(u64::MAX), &spec.team, &spec.room)
     }
 
-    /// Machines that could take some task of `asks`: of a busy fleet that is a small part.
-    fn open_views(&mut self, asks: &[TaskAsk], now: Time) -> Vec<MachineView> {
-        let least = |of: fn(&Room) -> f64| asks.iter().map(|a| of(&a.room)).fold(f64::MAX, f64::min);
-        let least =
-            Room { cpus: least(|r| r.cpus), gpus: least(|r| r.gpus), memory_gb: least(|r| r.memory_gb) };
-        // One whose record can't hold the largest entry is left out: offered, it would be chosen in vain.
-        let last_task =
-            |a: &TaskAsk| TaskId { job: a.job.clone(), index: a.tasks.last().copied().unwrap_or(0) };
-        let bytes = asks
-            .iter()
-            .filter_map(|a| self.runs.get(&a.job).map(|r| self.entry_bytes(&last_task(a), &r.job.spec)));
-        let (bytes, limit) = (bytes.max().unwrap_or(0), self.settings.state.value_bytes);
-        let mut views = Vec::new();
-        for m in self.machines.values() {
-            if m.standing != Standing::Up {
-                continue;
-            }
-            self.blocks.add(&m.id);
-            if !least.fits_in(&m.free()) || !m.open_for_tasks(now) || !m.record_holds(bytes, limit) {
-                continue;
-            }
-            let health = self.health(m, now);
-            if health != Health::Unreachable {
-                views.push(self.view(m, health, asks, now));
-            }
-        }
-        views
-    }
-
     pub(super) fn health(&self, m: &Machine, now: Time) -> Health {
         let o = &self.settings.operator;
         let report = Span::secs(self.settings.workers.report_s);
@@ -353,7 +321,7 @@
         &mut self,
         node: &NodeName,
         ask: &TaskAsk,
-        views: &[MachineView],
+        field: &mut Field,
         claims: &mut Vec<Claim>,
     ) -> bool {
         // A gang needs room for all its tasks at once.
@@ -361,12 +329,13 @@
         let need = if gang { ask.tasks.len() as u32 } else { 1 };
         let (mut own, mut all): (BTreeMap<&Zone, u32>, BTreeMap<&Zone, u32>) = Default::default();
         let mut found = Vec::new();
-        for v in views.iter().filter(|v| ask.allows(v)) {
+        let Field { views, owners, whole } = field;
+        for (i, v) in views.iter().enumerate().filter(|(_, v)| ask.allows(v)) {
             let slots = v.free.count_of(&ask.room);
-            match self.blocks.owner(&v.id) {
+            match &owners[i] {
                 Some(owner) if owner == node => *own.entry(&v.zone).or_default() += slots,
                 Some(owner) if self.offers.contains_key(owner) || claimed(claims, owner, v) => continue,
-                _ => found.push(v),
+                _ => found.push(i),
             }
             *all.entry(&v.zone).or_default() += slots;
         }
@@ -381,7 +350,8 @@
             let version = self.room_version;
             let Some(run) = self.runs.get_mut(&ask.job) else { return false };
             if room(&all) < need {
-                run.tried = version;
+                // Of a part of what is open nothing follows for the rest.
+                run.tried = if *whole { version } else { run.tried };
                 run.why = "no machine has room for it";
                 return false;
             }
@@ -390,9 +360,13 @@
             let wanted = if gang { usize::MAX } else { ask.tasks.len() };
             let fits = |zone: &Zone| !(gang && ask.together) || best == Some(zone);
             let mut moved = 0;
-            for v in found.iter().filter(|v| fits(&v.zone)) {
+            for i in found {
+                let v = &views[i];
                 // Each that goes may leave the next one claimed.
-                let owner = self.blocks.owner(&v.id).cloned();
+                let owner = owners[i].clone();
+                if !fits(&v.zone) {
+                    continue;
+                }
                 if moved >= wanted || owner.as_ref().is_some_and(|owner| claimed(claims, owner, v)) {
                     continue;
                 }
@@ -401,6 +375,7 @@
                 }
                 places += v.free.count_of(&ask.room);
                 self.blocks.give(node, [v.id.clone()]);
+                owners[i] = Some(node.clone());
                 moved += 1;
             }
         }
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -361,6 +361,7 @@
         {
             return Vec::new();
         }
+        self.plans.begins(now);
         let needs = self.needs(now);
         if needs.is_empty() {
             return Vec::new();
--- a/crates/scheduler/src/node/mod.rs
+++ b/crates/scheduler/src/node/mod.rs
@@ -20,6 +20,8 @@
 pub struct Now {
     pub steady: Time,
     pub wall: Wall,
+    /// How long the step before this one took.
+    pub took: Span,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/scheduler/src/world/mod.rs
+++ b/crates/scheduler/src/world/mod.rs
@@ -12,7 +12,7 @@
 use crate::feature::{Call, Feature};
 use crate::node::{Core, Effect, Input, Method, Now};
 use crate::settings::{Settings, parse};
-use crate::types::{OpId, Time, Wall};
+use crate::types::{OpId, Span, Time, Wall};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rules::Rules;
@@ -420,8 +420,11 @@
     }
 
     fn step(&mut self, i: usize, input: Input) {
-        let now =
-            Now { steady: Time::from_ms(1_000_000 + self.now), wall: Wall(1_700_000_000_000 + self.now) };
+        let now = Now {
+            steady: Time::from_ms(1_000_000 + self.now),
+            wall: Wall(1_700_000_000_000 + self.now),
+            took: Span::ms(0),
+        };
         let life = self.nodes[i].life;
         let Some(core) = &mut self.nodes[i].core else { return };
         let effects = core.step(now, input);
--- a/crates/scheduler/src/world/tests.rs
+++ b/crates/scheduler/src/world/tests.rs
@@ -6,7 +6,7 @@
 use super::{Event, Fault, Host, NODES, Stage, Submits, World, job};
 use crate::jobs::graph::Guard;
 use crate::node::{Core, Effect, Input, Method, Now};
-use crate::types::{OpId, Time, Wall};
+use crate::types::{OpId, Span, Time, Wall};
 use crate::wire::state::{StateReply, StateRequest};
 use rand::RngExt;
 
@@ -145,7 +145,7 @@
     for second in 10..30 {
         w.run_until(second * 1000);
         for i in 0..NODES {
-            let now = Now { steady: Time::from_ms(1_000_000 + w.now), wall: Wall(w.now) };
+            let now = Now { steady: Time::from_ms(1_000_000 + w.now), wall: Wall(w.now), took: Span::ms(0) };
             let ask = Input::Http {
                 request: OpId(u64::from(u32::MAX)),
                 method: Method::Get,
@@ -220,7 +220,7 @@
     let core = w.nodes[0].core.as_mut().expect("node 0 runs");
     let mut reads = 0;
     for ms in 0..1000 {
-        let now = Now { steady: Time::from_ms(1_015_000 + ms), wall: Wall(ms) };
+        let now = Now { steady: Time::from_ms(1_015_000 + ms), wall: Wall(ms), took: Span::ms(0) };
         let path = format!("/submissions/req-{}", 900_000 + ms);
         let ask = Input::Http { request: OpId(1_000_000 + ms), method: Method::Get, path, body: Vec::new() };
         let mut inputs = vec![ask];
