One table squares reports with records; what a lost lease killed starts again where it was

- An entry that is proved absent and still wanted starts again right there, with the attempt that is stored: no change, no fetch.
Only if all that is stored keeps within machine, team's limit and zones, since removals are written late.

--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -5,5 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod pace;
+mod table;
 
 pub use pace::Pace;
+pub use table::{Case, Claim, Ending, Outcome, Said, Stored, Verdict, claim, square};
--- /dev/null
+++ b/crates/recovery/src/table.rs
@@ -0,0 +1,263 @@
+//! What follows from a report and the ledger together, case by case. Nothing else decides that a task is gone, may be
+//! ordered, or may be stopped as one that nobody knows.
+
+/// What the ledger says of one task on one machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stored {
+    /// Nothing of this attempt.
+    Nothing,
+    /// An entry that is not durable yet: no order can have left.
+    Planned,
+    /// A durable entry; no order has left.
+    Ready,
+    /// Its start is on its way straight to the worker, whose answer is awaited.
+    Direct,
+    /// Its start has left. It has run by the time that a newer report is made or never will; one that nobody has
+    /// answered, by the time that the worker's session is over.
+    Sent,
+    /// Read from an earlier leader's record.
+    Inherited,
+    /// An earlier report to this leader had it alive.
+    Listed,
+    /// Reported as done; waits until that is durable.
+    Done,
+}
+
+/// What the worker's report says of that attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Said {
+    Absent,
+    /// Fetching, or in a phase that this version does not know.
+    Fetching,
+    Waiting,
+    Running,
+    Saving,
+    Ended(Ending),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ending {
+    Done,
+    Failed,
+    Stopped {
+        saved: bool,
+    },
+    /// Another task of the gang is gone, or the gang never was complete.
+    GangBroke,
+    NoRoom,
+    /// The worker did not know the job yet, or had another attempt there.
+    Refused,
+}
+
+/// How a task left its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Ended(Ending),
+    /// Its worker's session ended, and with it all its tasks; or no order for it can act any more.
+    Vanished,
+    /// It never was there: the order did not arrive, or wasn't sent any more.
+    NeverStarted,
+}
+
+/// A task on a machine, as stored and as reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Case {
+    pub stored: Stored,
+    /// It is to stop.
+    pub stopping: bool,
+    pub said: Said,
+    /// The report was made after the start that has left had run, if it ever ran.
+    pub after_order: bool,
+    /// The worker had seen this leader's fence as it made the report: no earlier leader's order can act any more.
+    pub under_fence: bool,
+    /// The task is still wanted, and may start again on this machine with the same attempt.
+    pub wanted_here: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is proved: the entry stays as it is.
+    Unproved,
+    /// It is there, in the phase that the report says.
+    There,
+    /// It is done: to be recorded before the entry goes.
+    Done,
+    Gone(Outcome),
+    /// It isn't there, and no order for it can act: it may be ordered to start, here and with this attempt. The entry
+    /// is durable as it is, so this costs no change, and the image is here.
+    StartHere,
+    /// Alive, and not in the ledger: to be stopped.
+    Stop,
+    /// Ended, and not in the ledger: the worker may forget it.
+    Forget,
+}
+
+/// Squares what is stored with what is reported. `docs/design/recovery.md` has the table with its reasons.
+pub fn square(case: &Case) -> Verdict {
+    use {Said::*, Stored::*};
+    match (case.stored, case.said) {
+        (Nothing, Absent) => Verdict::Unproved,
+        (Nothing, Ended(_)) => Verdict::Forget,
+        (Nothing, _) => Verdict::Stop,
+        // Recorded first, whatever became of the worker since.
+        (Done, _) => Verdict::Unproved,
+        (_, Ended(Ending::Done)) => Verdict::Done,
+        (_, Ended(ending)) => Verdict::Gone(Outcome::Ended(ending)),
+        (_, Fetching | Waiting | Running | Saving) => Verdict::There,
+        // No order has left, or its answer will say what became of it.
+        (Planned | Ready | Direct, Absent) => Verdict::Unproved,
+        (Sent, Absent) => match (case.after_order, case.stopping) {
+            (false, _) => Verdict::Unproved,
+            (true, true) => Verdict::Gone(Outcome::NeverStarted),
+            (true, false) => Verdict::StartHere,
+        },
+        (Inherited, Absent) if !case.under_fence => Verdict::Unproved,
+        (Inherited | Listed, Absent) if case.wanted_here && !case.stopping => Verdict::StartHere,
+        (Inherited | Listed, Absent) => Verdict::Gone(Outcome::Vanished),
+    }
+}
+
+/// What becomes of a stored entry at a take-over, by its job and the other entries of its task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Claim {
+    Keep,
+    /// An entry of a later attempt is stored: that was only planned once this one was proved gone, and the removal
+    /// was not written in time.
+    Superseded,
+    /// Its job is over or unknown, or the task is done: off the ledger if that is proved, else stopped.
+    Over,
+}
+
+pub fn claim(job_open: bool, task_done: bool, superseded: bool) -> Claim {
+    match (superseded, job_open && !task_done) {
+        (true, _) => Claim::Superseded,
+        (false, true) => Claim::Keep,
+        (false, false) => Claim::Over,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const STORED: [Stored; 8] = [
+        Stored::Nothing,
+        Stored::Planned,
+        Stored::Ready,
+        Stored::Direct,
+        Stored::Sent,
+        Stored::Inherited,
+        Stored::Listed,
+        Stored::Done,
+    ];
+    const ENDINGS: [Ending; 7] = [
+        Ending::Done,
+        Ending::Failed,
+        Ending::Stopped { saved: true },
+        Ending::Stopped { saved: false },
+        Ending::GangBroke,
+        Ending::NoRoom,
+        Ending::Refused,
+    ];
+
+    fn cases() -> Vec<Case> {
+        let said = [Said::Absent, Said::Fetching, Said::Waiting, Said::Running, Said::Saving];
+        let said: Vec<Said> = said.into_iter().chain(ENDINGS.map(Said::Ended)).collect();
+        let mut out = Vec::new();
+        for stored in STORED {
+            for said in &said {
+                for bits in 0..16u8 {
+                    let bit = |n: u8| bits & (1 << n) != 0;
+                    out.push(Case {
+                        stored,
+                        said: *said,
+                        stopping: bit(0),
+                        after_order: bit(1),
+                        under_fence: bit(2),
+                        wanted_here: bit(3),
+                    });
+                }
+            }
+        }
+        out
+    }
+
+    /// Whether an order to start this attempt may still act, or the task may be on the machine, after a report that
+    /// said this. Written from the protocol alone, not from the table.
+    fn may_be_there(c: &Case) -> bool {
+        match c.said {
+            Said::Ended(_) => false,
+            Said::Absent => match c.stored {
+                Stored::Nothing | Stored::Planned | Stored::Ready | Stored::Listed | Stored::Done => false,
+                Stored::Direct => true,
+                Stored::Sent => !c.after_order,
+                // An earlier leader's order acts as long as the worker hasn't seen a higher fence.
+                Stored::Inherited => !c.under_fence,
+            },
+            _ => true,
+        }
+    }
+
+    /// Every combination against the rules of the protocol.
+    #[test]
+    fn no_case_breaks_a_rule() {
+        let all = cases();
+        assert_eq!(all.len(), 8 * 12 * 16);
+        for c in all {
+            let verdict = square(&c);
+            // ran_twice, quota, wrong_place: what may still be there counts.
+            let frees = matches!(verdict, Verdict::Gone(_));
+            assert!(!(frees && may_be_there(&c)), "freed though it may be there: {c:?}");
+            // A start goes out only for what is durable, wanted, and surely not there in any state.
+            if verdict == Verdict::StartHere {
+                assert!(!may_be_there(&c) && c.said == Said::Absent && !c.stopping, "{c:?}");
+                assert!(!matches!(c.stored, Stored::Nothing | Stored::Planned), "not durable: {c:?}");
+                assert!(c.stored == Stored::Sent || c.wanted_here, "not wanted: {c:?}");
+            }
+            // not_done, and a result is never lost: forgotten only when it is not in the ledger.
+            if c.said == Said::Ended(Ending::Done) && !matches!(c.stored, Stored::Nothing | Stored::Done) {
+                assert_eq!(verdict, Verdict::Done, "{c:?}");
+            }
+            assert_eq!(
+                verdict == Verdict::Forget,
+                c.stored == Stored::Nothing && !may_be_there(&c) && c.said != Said::Absent
+            );
+            // Nothing that the ledger holds is stopped as unknown.
+            assert!(verdict != Verdict::Stop || c.stored == Stored::Nothing, "{c:?}");
+            // What lives and is stored is kept as it is.
+            if matches!(c.said, Said::Running | Said::Waiting | Said::Saving | Said::Fetching) {
+                let kept = matches!(c.stored, Stored::Nothing | Stored::Done) || verdict == Verdict::There;
+                assert!(kept, "{c:?}");
+            }
+        }
+    }
+
+    /// With a row changed the walk above must notice: the guards are not there for show.
+    #[test]
+    fn without_the_fence_or_the_order_a_start_would_act_twice() {
+        let unfenced = Case {
+            stored: Stored::Inherited,
+            stopping: false,
+            said: Said::Absent,
+            after_order: false,
+            under_fence: false,
+            wanted_here: true,
+        };
+        assert!(may_be_there(&unfenced) && square(&unfenced) == Verdict::Unproved);
+        let sent = Case { stored: Stored::Sent, under_fence: true, ..unfenced };
+        assert!(may_be_there(&sent) && square(&sent) == Verdict::Unproved);
+        let proved = Case { after_order: true, ..sent };
+        assert_eq!(square(&proved), Verdict::StartHere);
+        assert_eq!(square(&Case { stopping: true, ..proved }), Verdict::Gone(Outcome::NeverStarted));
+    }
+
+    #[test]
+    fn an_entry_is_kept_only_for_an_open_job_and_the_latest_attempt() {
+        assert_eq!(claim(true, false, false), Claim::Keep);
+        assert_eq!(claim(true, false, true), Claim::Superseded);
+        assert_eq!(claim(false, false, true), Claim::Superseded);
+        for (open, done) in [(false, false), (false, true), (true, true)] {
+            assert_eq!(claim(open, done, false), Claim::Over);
+        }
+    }
+}
--- a/crates/scheduler/src/ledger/journal.rs
+++ b/crates/scheduler/src/ledger/journal.rs
@@ -18,6 +18,8 @@
     Soon,
     /// A start or a verdict waits for it.
     Urgent,
+    /// The start of a replica waits for it: what users of a service feel at once.
+    First,
 }
 
 #[derive(Debug, Default)]
@@ -49,6 +51,7 @@
     leader_key: String,
     fence: Fence,
     docs: BTreeMap<String, Doc>,
+    first: VecDeque<String>,
     urgent: VecDeque<String>,
     soon: VecDeque<String>,
     idle: VecDeque<String>,
@@ -69,6 +72,7 @@
             leader_key: leader_key.into(),
             fence,
             docs: BTreeMap::new(),
+            first: VecDeque::new(),
             urgent: VecDeque::new(),
             soon: VecDeque::new(),
             idle: VecDeque::new(),
@@ -105,6 +109,7 @@
         if doc.queued.is_none_or(|queued| queued < haste) {
             doc.queued = Some(haste);
             let queue = match haste {
+                Haste::First => &mut self.first,
                 Haste::Urgent => &mut self.urgent,
                 Haste::Soon => &mut self.soon,
                 Haste::Idle => &mut self.idle,
@@ -124,13 +129,14 @@
     }
 
     pub fn backlog(&self) -> usize {
-        self.urgent.len() + self.soon.len() + self.idle.len()
+        self.first.len() + self.urgent.len() + self.soon.len() + self.idle.len()
     }
 
     /// Whether something waits that `next_batch` would take.
     pub fn wants(&self, ample: bool) -> bool {
         self.idle()
-            && (!self.urgent.is_empty()
+            && (!self.first.is_empty()
+                || !self.urgent.is_empty()
                 || (ample || self.turn_of_the_rest()) && !(self.soon.is_empty() && self.idle.is_empty()))
     }
 
@@ -162,7 +168,11 @@
             if batch.changes.len() < first {
                 next = self.soon.pop_front();
             }
-            next = next.or_else(|| self.urgent.pop_front());
+            // However many replicas wait, every second change goes to other starts: no class waits for ever.
+            if batch.changes.len() % 2 == 0 {
+                next = next.or_else(|| self.first.pop_front());
+            }
+            next = next.or_else(|| self.urgent.pop_front()).or_else(|| self.first.pop_front());
             if next.is_none() && (ample || turn) {
                 next = self.soon.pop_front().or_else(|| self.idle.pop_front());
             }
--- a/crates/scheduler/src/ledger/mod.rs
+++ b/crates/scheduler/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 pub use journal::{Batch, Haste, Journal, Settled};
 
 use crate::types::{Attempt, Image, MachineId, Room, Session, TaskId, TeamName, Time, TypeName, Zone};
+use pearford_recovery::Stored;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -39,6 +40,27 @@
     Done,
 }
 
+impl EntryState {
+    /// As the table of verdicts knows it.
+    pub fn stored(&self) -> Stored {
+        match self {
+            Self::Planned => Stored::Planned,
+            Self::Ready => Stored::Ready,
+            Self::Sent { .. } => Stored::Sent,
+            Self::Direct => Stored::Direct,
+            Self::Inherited => Stored::Inherited,
+            Self::Preparing | Self::Running | Self::Saving => Stored::Listed,
+            Self::Done => Stored::Done,
+        }
+    }
+
+    /// Whether a start that has left had run, if it ever ran, when the worker made this report. One in doubt has the
+    /// last serial of its session.
+    pub fn is_before(&self, session: Session, serial: u64) -> bool {
+        matches!(self, Self::Sent { session: s, serial: n } if (session, serial) > (*s, *n))
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Stop {
     pub grace_s: f64,
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -33,8 +33,10 @@
 /// How often nodes tell one another that they are there.
 const PING_EVERY: Span = Span::ms(1000);
 const COUNTS_PAGE: u32 = 500;
-/// How long the seat's requests may take: an answer later than that is of no use to it.
+/// How long the seat's requests may take: an answer later than that is of no use to it. While nobody leads there is
+/// nothing to hurry for but an answer: asked anew each second, a slow state service gave no leader for 20 s.
 const SEAT_PATIENCE: Span = Span::ms(1000);
+const CAMPAIGN_PATIENCE: Span = Span::ms(2500);
 /// How long a leader that gave the lead back leaves it to others.
 const SHUN: Span = Span::ms(20_000);
 
@@ -230,7 +232,8 @@
     }
 
     fn seat_sends(&mut self, request: StateRequest) {
-        let op = self.out.ask_state_for(request, SEAT_PATIENCE);
+        let patience = if self.seat.leads() { SEAT_PATIENCE } else { CAMPAIGN_PATIENCE };
+        let op = self.out.ask_state_for(request, patience);
         self.seat.sent(op);
     }
 
--- a/crates/scheduler/src/node/master/calls.rs
+++ b/crates/scheduler/src/node/master/calls.rs
@@ -6,6 +6,9 @@
 /// How long a worker has to answer an order.
 pub(super) const WORKER_PATIENCE: Span = Span::ms(3000);
 const PROBE_PATIENCE: Span = Span::ms(1500);
+/// Workers that are sent orders at a time: after all leases have ended thousands of starts are due at once, and each
+/// costs a connection. Those beyond get theirs as these answer, or with their next report.
+const DIRECTS_AT_ONCE: usize = 512;
 /// Workers that are told the fence directly at a time.
 const PUSHES_AT_ONCE: usize = 8;
 
@@ -116,7 +119,9 @@
     /// Orders that needn't wait for a worker's next report go straight to it.
     pub(super) fn send_directs(&mut self, ctx: &mut Ctx) {
         let (may_start, fence) = (self.may_start(ctx), self.fence);
-        for id in std::mem::take(&mut self.to_direct) {
+        while self.directs.len() < DIRECTS_AT_ONCE
+            && let Some(id) = self.to_direct.pop_first()
+        {
             let Some(m) = self.machines.get_mut(&id).filter(|m| m.reachable(fence)) else { continue };
             let (orders, starts) = m.direct_orders(may_start);
             if let (false, Some(addr)) = (orders.is_empty(), m.addr.clone()) {
--- a/crates/scheduler/src/node/master/stock.rs
+++ b/crates/scheduler/src/node/master/stock.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::jobs::PROGRESS_PREFIX;
+use pearford_recovery::{Claim, Ending, Stored, claim};
 
 /// How long nothing is placed on a machine whose record the state service refuses.
 const UNWRITABLE_PAUSE: Span = Span::ms(30_000);
@@ -60,6 +61,7 @@
         // machines are written apart. Where the new one was in time and the old one's removal
         // wasn't, the lower attempt is that old entry. Taken for a live one it hid the other, and
         // its proof of absence let the task start twice (tremorline grown, troubles).
+        // (`Claim::Superseded`)
         let mut newest: BTreeMap<TaskId, Attempt> = BTreeMap::new();
         for (task, entry) in self.machines.values().flat_map(|m| &m.entries) {
             let attempt = newest.entry(task.clone()).or_insert(entry.attempt);
@@ -67,7 +69,10 @@
         }
         for m in self.machines.values_mut() {
             let before = m.entries.len();
-            m.entries.retain(|task, e| newest.get(task).is_none_or(|newest| e.attempt >= *newest));
+            m.entries.retain(|task, e| {
+                let superseded = newest.get(task).is_some_and(|newest| e.attempt < *newest);
+                claim(true, false, superseded) != Claim::Superseded
+            });
             if m.entries.len() < before {
                 self.dirty.insert(m.id.clone());
                 m.recount(&mut self.used, now);
@@ -78,10 +83,16 @@
             .values()
             .flat_map(|m| m.entries.iter().map(|(t, e)| (m.id.clone(), t.clone(), e.state, e.attempt)))
             .collect();
+        let mut images: Vec<(MachineId, Image, f64)> = Vec::new();
         for (machine, task, state, attempt) in entries {
-            match self.runs.get_mut(&task.job) {
-                Some(run) if !run.done().has(task.index) => {
+            let run = self.runs.get_mut(&task.job);
+            let task_done = run.as_ref().is_some_and(|run| run.done().has(task.index));
+            match run {
+                Some(run) if claim(true, task_done, false) == Claim::Keep => {
                     run.place(task.index, machine.clone());
+                    // It was started there, so its image is there or on its way. The record was written before the
+                    // fetch: what ran in a session that is over would be fetched anew elsewhere.
+                    images.push((machine.clone(), run.job.spec.image.clone(), run.job.spec.image_gb));
                     run.attempt = Some(attempt);
                     if state == EntryState::Done {
                         self.task_done(&machine, &task, now);
@@ -90,6 +101,12 @@
                 _ => self.drop_or_stop(&machine, &task, now),
             }
         }
+        for (id, image, gb) in images {
+            if let Some(m) = self.machines.get_mut(&id).filter(|m| !m.has_image(&image)) {
+                let cache_gb = self.market.type_of(&m.type_name).map_or(0.0, |t| t.cache_gb);
+                m.remember_image(&image, gb, cache_gb);
+            }
+        }
         // All tasks may be recorded as done without the job being so.
         let over: Vec<JobId> =
             self.runs.iter().filter(|(_, r)| r.all_done()).map(|(id, _)| id.clone()).collect();
@@ -190,10 +207,10 @@
             self.machines.insert(report.machine.clone(), m);
             self.dirty.insert(report.machine.clone());
         }
-        let fence = self.fence;
+        let (fence, again) = (self.fence, self.start_again(report));
         let Some(m) = self.machines.get_mut(&report.machine) else { return };
         let was = (m.standing, m.session, m.addr.is_some());
-        let digest = m.digest(report, fence, now);
+        let digest = m.digest(report, fence, &again, now);
         if digest.stale {
             return;
         }
@@ -206,6 +223,43 @@
         self.take_digest(&id, digest, now);
     }
 
+    /// Tasks stored on a machine that, should they not be there any more, start again right there: with the attempt
+    /// that is stored, so that it costs no change, and where their image is.
+    ///
+    /// Records may name more than was there: removals are written late. So what is stored must be within the machine,
+    /// the team's limit and the job's zones all together, or entries that have long made way would come back.
+    fn start_again(&self, report: &Report) -> Vec<TaskId> {
+        let Some(m) = self.machines.get(&report.machine) else { return Vec::new() };
+        let may_be_gone = |e: &Entry| match e.state.stored() {
+            Stored::Inherited => report.fence == self.fence,
+            Stored::Listed => report.session > m.session,
+            _ => false,
+        };
+        if !m.entries.values().any(may_be_gone) || !Room::default().fits_in(&m.free()) {
+            return Vec::new();
+        }
+        let wanted = |(task, e): &(&TaskId, &Entry)| {
+            let Some(run) = self.runs.get(&task.job) else { return false };
+            let spec = &run.job.spec;
+            // A gang's tasks find one another by their attempt: it begins anew as a whole.
+            if run.is_gang() || run.finishing || run.done().has(task.index) || !may_be_gone(e) {
+                return false;
+            }
+            let used = self.used.get(&spec.team).copied().unwrap_or_default();
+            let stray = self.stray_on.iter().filter_map(|id| self.machines.get(id));
+            let stray = stray.into_iter().any(|m| m.strays.contains(*task));
+            let within = |team| ledger::within_limit(team, &used, &Room::default());
+            let zones = self.zones_of(&task.job, run);
+            let apart = spec.spread && zones.get(&m.zone).is_some_and(|n| *n > spec.zone_cap());
+            run.placed().get(&task.index) == Some(&m.id)
+                && self.settings.teams.get(&spec.team).is_some_and(within)
+                && !apart
+                && !stray
+                && !(spec.together && zones.len() > 1)
+        };
+        m.entries.iter().filter(wanted).map(|(task, _)| task.clone()).collect()
+    }
+
     pub(super) fn take_digest(&mut self, machine: &MachineId, digest: Digest, now: Time) {
         for task in digest.began {
             tracing::debug!(%task, %machine, "runs");
@@ -222,6 +276,11 @@
                 self.start_after_fetches(&task.job);
             }
         }
+        if !digest.again.is_empty() {
+            tracing::debug!(%machine, tasks = digest.again.len(), "not there any more; they start again here");
+            digest.again.iter().for_each(|task| self.touch(&task.job));
+            self.to_direct.insert(machine.clone());
+        }
         for (task, _) in digest.done {
             self.touch(&task.job);
             self.task_done(machine, &task, now);
@@ -367,7 +426,7 @@
     ) {
         self.dirty.insert(machine.clone());
         self.room_version += 1;
-        if outcome == Outcome::NoRoom
+        if outcome == Outcome::Ended(Ending::NoRoom)
             && let Some(m) = self.machines.get_mut(machine)
         {
             m.not_before = now + Span::ms(2000);
@@ -377,7 +436,7 @@
         tracing::debug!(%task, %machine, ?outcome, "task left");
         let mut blamed = None;
         match outcome {
-            Outcome::Failed => {
+            Outcome::Ended(Ending::Failed) => {
                 run.errors += 1;
                 // One failure speaks of the machine; several in a row may speak of the job.
                 let pause = if run.errors < 3 { 0 } else { 250u64 << (run.errors - 2).min(7) };
@@ -388,7 +447,7 @@
                 }
                 blamed = Some(errors);
             }
-            Outcome::Refused | Outcome::NoRoom => run.not_before = now + Span::ms(1000),
+            Outcome::Ended(Ending::Refused | Ending::NoRoom) => run.not_before = now + Span::ms(1000),
             _ => {}
         }
         let _ = entry;
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -287,7 +287,14 @@
                 .map(|(t, _)| t.clone())
                 .collect();
             // Starts wait for it; what has only left is proved gone again by whoever reads it.
-            let haste = if planned.is_empty() { Haste::Idle } else { Haste::Urgent };
+            let replica = |task: &TaskId| {
+                self.runs.get(&task.job).is_some_and(|run| run.job.spec.shape == Shape::Service)
+            };
+            let haste = match planned.is_empty() {
+                true => Haste::Idle,
+                false if planned.iter().any(replica) => Haste::First,
+                false => Haste::Urgent,
+            };
             let version = self.journal.put(&ledger::key(&id), Some(value), haste);
             for task in planned {
                 m.planned.insert(task, version);
--- a/crates/scheduler/src/wire/workers.rs
+++ b/crates/scheduler/src/wire/workers.rs
@@ -2,6 +2,7 @@
 
 use crate::types::{Attempt, Fence, MachineId, NodeName, Session, TaskId, TypeName, Zone};
 use pearford_homes::Stamped;
+use pearford_recovery::{Ending, Said};
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Clone, Deserialize)]
@@ -90,6 +91,24 @@
     pub fn task(&self) -> Option<TaskId> {
         TaskId::parse(&self.task)
     }
+
+    /// What it says of the task.
+    pub fn said(&self) -> Said {
+        match self.phase {
+            TaskPhase::Fetching | TaskPhase::Other => Said::Fetching,
+            TaskPhase::Waiting => Said::Waiting,
+            TaskPhase::Running => Said::Running,
+            TaskPhase::Saving => Said::Saving,
+            TaskPhase::Exited => Said::Ended(match self.cause {
+                Some(Cause::Done) => Ending::Done,
+                Some(Cause::Error) => Ending::Failed,
+                Some(Cause::Stopped) => Ending::Stopped { saved: self.saved },
+                Some(Cause::Peers | Cause::Alone) => Ending::GangBroke,
+                Some(Cause::NoRoom) => Ending::NoRoom,
+                Some(Cause::Busy | Cause::Unknown | Cause::Other) | None => Ending::Refused,
+            }),
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/scheduler/src/workers/mod.rs
+++ b/crates/scheduler/src/workers/mod.rs
@@ -4,7 +4,9 @@
 use crate::types::{
     Attempt, Fence, Image, JobId, MachineId, Room, Session, Span, TaskId, TeamName, Time, TypeName, Zone,
 };
-use crate::wire::workers::{Cause, Order, Report, ReportedTask, TaskPhase};
+use crate::wire::workers::{Order, Report, ReportedTask, TaskPhase};
+pub use pearford_recovery::Outcome;
+use pearford_recovery::{Case, Ending, Said, Stored, Verdict, square};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,25 +26,6 @@
     Unreachable,
 }
 
-/// How a task left its machine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
-    Done,
-    Failed,
-    Stopped {
-        saved: bool,
-    },
-    /// Another task of the gang is gone, or the gang never was complete.
-    GangBroke,
-    NoRoom,
-    /// The worker did not know the job yet, or had another attempt there.
-    Refused,
-    /// The worker's session ended, and with it all its tasks.
-    Vanished,
-    /// It never was there: the order did not arrive, or wasn't sent any more.
-    NeverStarted,
-}
-
 #[derive(Debug)]
 pub struct Machine {
     pub id: MachineId,
@@ -90,6 +73,8 @@
     pub doubtful: BTreeMap<(TaskId, Attempt), Session>,
     /// Tasks in its last report.
     listed: usize,
+    /// Sessions of its worker that have ended while this leader heard it.
+    sessions_ended: u32,
 }
 
 /// What a report changed.
@@ -99,14 +84,18 @@
     pub gone: Vec<(TaskId, Entry, Outcome)>,
     /// Tasks that are done; their entries stay until that is recorded.
     pub done: Vec<(TaskId, Attempt)>,
-    /// Tasks that have their image now.
+    /// Tasks that have their image now, or had it here.
     pub fetched: Vec<TaskId>,
+    /// Tasks that are not there any more and start again right here.
+    pub again: Vec<TaskId>,
     /// Tasks that began to run.
     pub began: Vec<TaskId>,
     /// Whether it was an old report, which says nothing.
     pub stale: bool,
 }
 
+/// A worker whose session ends again and again gets its tasks back this often; then they go elsewhere.
+const SESSIONS_ENDED: u32 = 2;
 /// Bounds a machine's record, however small its images are.
 const IMAGES_REMEMBERED: usize = 64;
 
@@ -143,6 +132,7 @@
             held: None,
             doubtful: BTreeMap::new(),
             listed: 0,
+            sessions_ended: 0,
         }
     }
 
@@ -273,8 +263,9 @@
         None
     }
 
-    /// Takes in a report. `mine` is this leader's fence.
-    pub fn digest(&mut self, report: &Report, mine: Fence, now: Time) -> Digest {
+    /// Takes in a report. `mine` is this leader's fence; `again`: tasks that are to start again
+    /// right here if they are not there any more.
+    pub fn digest(&mut self, report: &Report, mine: Fence, again: &[TaskId], now: Time) -> Digest {
         let mut digest = Digest::default();
         if (report.session, report.serial) <= (self.session, self.serial) {
             digest.stale = true;
@@ -283,7 +274,7 @@
         if report.session > self.session {
             self.doubtful.retain(|_, session| *session >= report.session);
         }
-        self.session = report.session;
+        let was = std::mem::replace(&mut self.session, report.session);
         self.serial = report.serial;
         self.fence = report.fence;
         self.listed = report.tasks.len();
@@ -310,18 +301,48 @@
                 }
             }
         }
+        if report.session > was && was > Session(0) {
+            self.sessions_ended += 1;
+        }
+        let open = !self.draining && self.taken_at.is_none() && self.standing == Standing::Up;
+        let open = open && self.strays.is_empty() && self.sessions_ended <= SESSIONS_ENDED;
         let tasks: Vec<TaskId> = self.entries.keys().cloned().collect();
         for task in tasks {
             let Some(entry) = self.entries.get_mut(&task) else { continue };
-            let outcome = match listed.get(&task) {
-                Some(reported) => seen(entry, reported, now, &task, &mut digest),
-                None => absent(entry, report, mine),
+            let reported = listed.get(&task);
+            let case = Case {
+                stored: entry.state.stored(),
+                stopping: entry.stop.is_some(),
+                said: reported.map_or(Said::Absent, |r| r.said()),
+                after_order: entry.state.is_before(report.session, report.serial),
+                under_fence: report.fence == mine,
+                wanted_here: open && again.contains(&task),
             };
-            if let Some(outcome) = outcome
-                && let Some(entry) = self.entries.remove(&task)
-            {
-                self.planned.remove(&task);
-                digest.gone.push((task, entry, outcome));
+            match square(&case) {
+                Verdict::There => there(entry, case.said, now, &task, &mut digest),
+                Verdict::Done => {
+                    fetched(entry, &task, &mut digest);
+                    entry.state = EntryState::Done;
+                    digest.done.push((task.clone(), entry.attempt));
+                }
+                Verdict::StartHere => {
+                    if matches!(case.stored, Stored::Inherited | Stored::Listed) {
+                        entry.planned_at = now;
+                        entry.running_since = None;
+                        digest.again.push(task.clone());
+                    }
+                    entry.state = EntryState::Ready;
+                }
+                Verdict::Gone(outcome) => {
+                    if outcome == Outcome::Ended(Ending::GangBroke) {
+                        fetched(entry, &task, &mut digest);
+                    }
+                    self.planned.remove(&task);
+                    if let Some(entry) = self.entries.remove(&task) {
+                        digest.gone.push((task, entry, outcome));
+                    }
+                }
+                Verdict::Unproved | Verdict::Stop | Verdict::Forget => {}
             }
         }
         digest
@@ -487,52 +508,19 @@
     }
 }
 
-/// A listed task: takes over its phase, or tells how it ended.
-fn seen(
-    entry: &mut Entry,
-    reported: &ReportedTask,
-    now: Time,
-    task: &TaskId,
-    digest: &mut Digest,
-) -> Option<Outcome> {
-    match reported.phase {
-        TaskPhase::Fetching | TaskPhase::Other => {
-            entry.state = EntryState::Preparing;
-            None
-        }
-        TaskPhase::Waiting => {
-            fetched(entry, task, digest);
-            entry.state = EntryState::Preparing;
-            None
-        }
-        TaskPhase::Running => {
-            fetched(entry, task, digest);
-            if entry.running_since.is_none() {
-                entry.running_since = Some(now);
-                digest.began.push(task.clone());
-            }
-            entry.state = EntryState::Running;
-            None
-        }
-        TaskPhase::Saving => {
-            entry.state = EntryState::Saving;
-            None
-        }
-        TaskPhase::Exited => Some(match reported.cause {
-            // Never forgotten before it is recorded: the entry stays, so no `forget` is sent.
-            Some(Cause::Done) => {
-                if entry.state != EntryState::Done {
-                    entry.state = EntryState::Done;
-                    digest.done.push((task.clone(), entry.attempt));
-                }
-                return None;
-            }
-            Some(Cause::Error) => Outcome::Failed,
-            Some(Cause::Stopped) => Outcome::Stopped { saved: reported.saved },
-            Some(Cause::Peers | Cause::Alone) => Outcome::GangBroke,
-            Some(Cause::NoRoom) => Outcome::NoRoom,
-            Some(Cause::Busy | Cause::Unknown | Cause::Other) | None => Outcome::Refused,
-        }),
+/// Takes over the phase of a task that is there.
+fn there(entry: &mut Entry, said: Said, now: Time, task: &TaskId, digest: &mut Digest) {
+    if matches!(said, Said::Waiting | Said::Running) {
+        fetched(entry, task, digest);
+    }
+    entry.state = match said {
+        Said::Running => EntryState::Running,
+        Said::Saving => EntryState::Saving,
+        _ => EntryState::Preparing,
+    };
+    if said == Said::Running && entry.running_since.is_none() {
+        entry.running_since = Some(now);
+        digest.began.push(task.clone());
     }
 }
 
@@ -543,30 +531,6 @@
     }
 }
 
-/// A task that a report does not list: gone if the report is newer than every order for it.
-fn absent(entry: &mut Entry, report: &Report, mine: Fence) -> Option<Outcome> {
-    match entry.state {
-        EntryState::Planned | EntryState::Ready | EntryState::Direct => None,
-        // Orders in answers run before the worker's next report or never, so a later report
-        // without the task proves that it didn't start.
-        EntryState::Sent { session, serial } if (report.session, report.serial) > (session, serial) => {
-            if entry.stop.is_some() {
-                Some(Outcome::NeverStarted)
-            } else {
-                entry.state = EntryState::Ready;
-                None
-            }
-        }
-        EntryState::Sent { .. } => None,
-        // An earlier leader's start can still act until the worker has seen this leader's fence.
-        EntryState::Inherited if report.fence == mine => Some(Outcome::Vanished),
-        EntryState::Inherited => None,
-        // The outcome of a done task is known, whatever became of the worker.
-        EntryState::Done => None,
-        EntryState::Preparing | EntryState::Running | EntryState::Saving => Some(Outcome::Vanished),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -598,26 +562,26 @@
         let now = Time::from_ms(9_000);
         (m.standing, m.last_report) = (Standing::Up, Some(now));
         assert!(!m.open_for_tasks(now));
-        m.digest(&report(1, 1, 9, ""), MINE, now);
+        m.digest(&report(1, 1, 9, ""), MINE, &[], now);
         assert!(m.open_for_tasks(now));
     }
 
     #[test]
     fn silence_about_an_inherited_task_proves_nothing_until_the_worker_saw_the_fence() {
         let (mut m, _) = machine_with(EntryState::Inherited);
-        assert!(m.digest(&report(1, 1, 8, ""), MINE, Time::from_ms(1)).gone.is_empty());
-        assert_eq!(m.digest(&report(1, 2, 9, ""), MINE, Time::from_ms(2)).gone[0].2, Outcome::Vanished);
+        assert!(m.digest(&report(1, 1, 8, ""), MINE, &[], Time::from_ms(1)).gone.is_empty());
+        assert_eq!(m.digest(&report(1, 2, 9, ""), MINE, &[], Time::from_ms(2)).gone[0].2, Outcome::Vanished);
     }
 
     #[test]
     fn a_start_counts_until_a_later_report_lacks_it_and_only_then_can_be_dropped() {
         let (mut m, task) = machine_with(EntryState::Ready);
         let first = report(1, 5, 9, "");
-        m.digest(&first, MINE, Time::from_ms(1));
+        m.digest(&first, MINE, &[], Time::from_ms(1));
         assert_eq!(m.orders(&first, true, |_| false, true).len(), 1);
         assert!(m.stop(&task, 0.0, Time::from_ms(2)).is_none(), "sent: needs proof");
-        assert!(m.digest(&report(1, 4, 9, ""), MINE, Time::from_ms(3)).stale);
-        let gone = m.digest(&report(1, 6, 9, ""), MINE, Time::from_ms(4)).gone;
+        assert!(m.digest(&report(1, 4, 9, ""), MINE, &[], Time::from_ms(3)).stale);
+        let gone = m.digest(&report(1, 6, 9, ""), MINE, &[], Time::from_ms(4)).gone;
         assert_eq!(gone[0].2, Outcome::NeverStarted);
     }
 
@@ -634,7 +598,7 @@
     fn a_done_task_is_not_forgotten_before_it_is_recorded() {
         let (mut m, task) = machine_with(EntryState::Running);
         let r = report(1, 1, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"done"}"#);
-        assert_eq!(m.digest(&r, MINE, Time::from_ms(1)).done.len(), 1);
+        assert_eq!(m.digest(&r, MINE, &[], Time::from_ms(1)).done.len(), 1);
         assert!(m.orders(&r, true, |_| false, true).is_empty());
         m.entries.remove(&task);
         assert_eq!(m.orders(&r, true, |_| false, true), [Order::Forget { task, attempt: Attempt(7) }]);
@@ -643,17 +607,17 @@
     #[test]
     fn a_direct_start_without_answer_is_neither_disproved_by_reports_nor_forgotten() {
         let (mut m, task) = machine_with(EntryState::Ready);
-        m.digest(&report(1, 5, 9, ""), MINE, Time::from_ms(1));
+        m.digest(&report(1, 5, 9, ""), MINE, &[], Time::from_ms(1));
         let (orders, starts) = m.direct_orders(true);
         assert_eq!(orders.len(), 1);
         m.direct_answered(starts, Session(1), None);
         m.stop(&task, 0.0, Time::from_ms(2));
-        assert!(m.digest(&report(1, 7, 9, ""), MINE, Time::from_ms(3)).gone.is_empty(), "may come late");
+        assert!(m.digest(&report(1, 7, 9, ""), MINE, &[], Time::from_ms(3)).gone.is_empty(), "may come late");
         let ended = report(1, 8, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"stopped"}"#);
-        assert_eq!(m.digest(&ended, MINE, Time::from_ms(4)).gone.len(), 1);
+        assert_eq!(m.digest(&ended, MINE, &[], Time::from_ms(4)).gone.len(), 1);
         assert!(m.orders(&ended, true, |_| false, true).is_empty(), "forgotten, it would start again");
         let next = report(2, 9, 9, r#"{"shard":"req-1/0","try":7,"phase":"ended","cause":"stopped"}"#);
-        m.digest(&next, MINE, Time::from_ms(5));
+        m.digest(&next, MINE, &[], Time::from_ms(5));
         assert_eq!(m.orders(&next, true, |_| false, true).len(), 1, "a new session ends the doubt");
     }
 
@@ -661,7 +625,7 @@
     fn tasks_the_ledger_does_not_know_are_stopped_and_block_the_machine() {
         let (mut m, _) = machine_with(EntryState::Running);
         let r = report(1, 1, 9, r#"{"shard":"req-1/0","try":6,"phase":"running"}"#);
-        let digest = m.digest(&r, MINE, Time::from_ms(1));
+        let digest = m.digest(&r, MINE, &[], Time::from_ms(1));
         assert_eq!(digest.gone.len(), 1, "attempt 7 is not there");
         assert!(!m.open_for_tasks(Time::from_ms(1)));
         assert!(matches!(m.orders(&r, true, |_| false, true)[..], [Order::Stop { attempt: Attempt(6), .. }]));
