Reports that come while nobody leads wait for a leader instead of being turned away

Cause: a worker that is turned away tries the next node after a second, one without an answer after five.

Nodes park such reports for up to 2.8 s (workers wait 4 s) and answer them when somebody leads; pages of records may take 6 s. A node that hears no peer turns workers on as before: others may reach a leader.

--- a/crates/pearford/src/shell.rs
+++ b/crates/pearford/src/shell.rs
@@ -31,7 +31,7 @@
 /// A request that has waited this long for the core is turned away: whoever asked has nearly given up, and the time
 /// goes to those that haven't. (Four times the andina fleet after all nodes crashed: the state service's answers
 /// waited behind thousands of requests, the leader lost its grant every ten seconds, and the next began again.)
-const REQUEST_STALE: Duration = Duration::from_millis(1500);
+const REQUEST_STALE: Duration = Duration::from_millis(3500);
 /// Messages that may wait for one peer; later ones are dropped, all are repeated or void soon.
 const PEER_QUEUE: usize = 64;
 const MAX_FRAME: usize = 1024 * 1024;
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -71,6 +71,7 @@
     passing: Passing,
     features: Vec<Slot>,
     started: bool,
+    started_at: Time,
     #[cfg(any(test, feature = "world"))]
     old: bool,
 }
@@ -112,6 +113,7 @@
             passing: Passing::default(),
             features: Vec::new(),
             started: false,
+            started_at: Time::default(),
             #[cfg(any(test, feature = "world"))]
             old: false,
             settings,
@@ -125,6 +127,7 @@
         self.took = now.took;
         if !self.started {
             self.started = true;
+            self.started_at = self.now;
             tracing::info!(node = %self.settings.node, "started");
         }
         // What only brings a feature's records up to date leaves the rest of the node as it was.
--- a/crates/scheduler/src/node/core/reports.rs
+++ b/crates/scheduler/src/node/core/reports.rs
@@ -5,6 +5,7 @@
 use crate::types::MachineId;
 use crate::wire::workers::{Order, TaskPhase};
 use pearford_homes::{Ask, Relayed, RelayedCall, Turn as Whose};
+use std::collections::VecDeque;
 
 /// Orders passed on for a leader at a time; more are answered as not sent.
 const PASSING: usize = 4096;
@@ -12,6 +13,16 @@
 const ERRANDS: usize = 10_000;
 const NOT_SENT: u16 = 409;
 
+/// Reports that wait for a leader here, at most, and for how long. A worker that is turned away comes back in a second,
+/// one that gets no answer in five: while nobody led, being turned away made five times the usual load, and no node got
+/// as far as to lead (four times the andina fleet). Workers wait 4 s for an answer.
+const PARKED: usize = 8192;
+const PARKED_FOR: Span = Span::ms(2800);
+/// A node that has just started may be the first that is back.
+const ALONE_AFTER: Span = Span::ms(10_000);
+/// Reports taken out of waiting in a step: they come beside all else.
+const UNPARKED_AT_ONCE: usize = 100;
+
 /// What passes through this node between the leader and workers.
 #[derive(Debug, Default)]
 pub(super) struct Passing {
@@ -19,6 +30,8 @@
     calls: BTreeMap<OpId, (NodeName, Fence, u64)>,
     /// Orders that go out with the answers to the next reports.
     errands: BTreeMap<MachineId, (Fence, Vec<Order>)>,
+    /// Reports that came while no leader was known, in their order.
+    parked: VecDeque<(Time, OpId, Report)>,
 }
 
 impl Core {
@@ -28,10 +41,37 @@
             Err(error) => return self.out.refuse(request, 400, &error.to_string()),
         };
         self.saw_fence(report.fence);
-        let taken = self.leading().is_some_and(|(master, mut ctx)| master.report(&mut ctx, request, &report));
-        if !taken && !self.report_to_delegate(request, &report) {
+        if !self.answer_report(request, &report) {
             self.heard_worker = self.now;
-            self.redirect(request);
+            // Where no peer is heard, it may be this node that is apart: others may reach a leader.
+            let alone = self.peers.live(self.now).is_empty() && self.now.since(self.started_at) > ALONE_AFTER;
+            let waits = self.known_leader().is_none() && !alone;
+            match waits && self.passing.parked.len() < PARKED {
+                true => self.passing.parked.push_back((self.now, request, report)),
+                false => self.redirect(request),
+            }
+        }
+    }
+
+    /// Answers a report as the leader or in its name; false: this node can do neither.
+    fn answer_report(&mut self, request: OpId, report: &Report) -> bool {
+        let taken = self.leading().is_some_and(|(master, mut ctx)| master.report(&mut ctx, request, report));
+        taken || self.report_to_delegate(request, report)
+    }
+
+    /// Reports that wait are answered once somebody leads, and sent on before their workers give up.
+    fn unpark(&mut self) {
+        let leads = self.known_leader().is_some() || self.seat.leads();
+        for _ in 0..UNPARKED_AT_ONCE {
+            let Some((at, ..)) = self.passing.parked.front() else { return };
+            let late = self.now.since(*at) >= PARKED_FOR;
+            if !late && !leads {
+                return;
+            }
+            let Some((_, request, report)) = self.passing.parked.pop_front() else { return };
+            if !self.answer_report(request, &report) {
+                self.redirect(request);
+            }
         }
     }
 
@@ -77,11 +117,16 @@
         true
     }
 
-    fn redirect(&mut self, request: OpId) {
+    /// Who leads, if that is known.
+    fn known_leader(&self) -> Option<&NodeName> {
         let known = self.leader_hint.as_ref();
         let known = known.filter(|(f, _, at)| *f >= self.top_fence && self.now.since(*at) < Span::ms(3000));
-        match known {
-            Some((_, leader, _)) => self.out.answer(request, 421, workers::redirect(Some(leader))),
+        known.map(|(_, leader, _)| leader)
+    }
+
+    fn redirect(&mut self, request: OpId) {
+        match self.known_leader().cloned() {
+            Some(leader) => self.out.answer(request, 421, workers::redirect(Some(&leader))),
             None => self.out.refuse(request, 503, "no leader is known here"),
         }
     }
@@ -159,6 +204,7 @@
     }
 
     pub(super) fn reports_tick(&mut self) {
+        self.unpark();
         for op in self.out.relays_overdue(self.now) {
             self.worker_answered(op, 0, None);
         }
--- a/crates/scheduler/src/node/follower.rs
+++ b/crates/scheduler/src/node/follower.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-const PAGE: u32 = 1000;
+const PAGE: u32 = 500;
 const WATCH_BLOCK: Span = Span::ms(10_000);
 /// How old the last full look may get before there is another.
 const FRESHEN_EVERY: Span = Span::ms(1000);
--- a/crates/scheduler/src/node/master/load.rs
+++ b/crates/scheduler/src/node/master/load.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 
-/// As many as the state service gives at once: with a slow one, twenty-six pages one after the other took nine seconds
+/// With a slow state service twenty-six pages one after the other took nine seconds
 /// after every change of leader (four times the andina fleet).
-const PAGE: u32 = 1000;
+const PAGE: u32 = 500;
 
 impl Master {
     /// Begins to read what the leaders before left.
--- a/crates/scheduler/src/node/outbox.rs
+++ b/crates/scheduler/src/node/outbox.rs
@@ -11,7 +11,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// How long the shell waits for the state service before it reports no answer.
+/// How long the shell waits for the state service before it reports no answer. A page may hold half a megabyte: asked
+/// for anew before it had come in, a loaded node never had its copy of the jobs, and nobody led (four times the andina
+/// fleet, a slow state service).
+const PAGE_PATIENCE: Span = Span::ms(6000);
 const STATE_PATIENCE: Span = Span::ms(1500);
 const CLOUD_PATIENCE: Span = Span::ms(5000);
 /// What the way by another node takes, at most, beside the order itself.
@@ -116,6 +119,7 @@
     pub fn ask_state(&mut self, request: StateRequest, pending: Pending) {
         let patience = match &request {
             StateRequest::Watch { block_ms, .. } => Span::ms(block_ms + 2500),
+            StateRequest::Range { .. } => PAGE_PATIENCE,
             _ => STATE_PATIENCE,
         };
         let op = self.ask_state_for(request, patience);
