--- a/crates/scheduler/src/ledger/journal.rs
+++ b/crates/scheduler/src/ledger/journal.rs
@@ -169,7 +169,7 @@
                 next = self.soon.pop_front();
             }
             // However many replicas wait, every second change goes to other starts: no class waits for ever.
-            if batch.changes.len() % 2 == 0 {
+            if batch.changes.len().is_multiple_of(2) {
                 next = next.or_else(|| self.first.pop_front());
             }
             next = next.or_else(|| self.urgent.pop_front()).or_else(|| self.first.pop_front());
--- a/crates/scheduler/src/node/master/field.rs
+++ b/crates/scheduler/src/node/master/field.rs
@@ -61,11 +61,12 @@
     }
 }
 
+type Open<'a> = (&'a Machine, Health);
+
 /// A part of `open` that has some of each zone, type and kind; of those first the ones with an image asked for and the
 /// fullest, and as many of the emptiest, for work that needs a whole machine.
-fn part_of<'a>(open: Vec<(&'a Machine, Health)>, asked: &BTreeSet<&Image>) -> Vec<(&'a Machine, Health)> {
-    let mut groups: BTreeMap<(&Zone, &crate::types::TypeName, bool), Vec<(&Machine, Health)>> =
-        BTreeMap::new();
+fn part_of<'a>(open: Vec<Open<'a>>, asked: &BTreeSet<&Image>) -> Vec<Open<'a>> {
+    let mut groups: BTreeMap<_, Vec<Open>> = BTreeMap::new();
     for (m, health) in open {
         groups.entry((&m.zone, &m.type_name, m.spot)).or_default().push((m, health));
     }
