--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -33,8 +33,10 @@
 /// How often nodes tell one another that they are there.
 const PING_EVERY: Span = Span::ms(1000);
 const COUNTS_PAGE: u32 = 500;
-/// How long the seat's requests may take: an answer later than that is of no use to it.
+/// How long the seat's requests may take: an answer later than that is of no use to it. While nobody leads there is
+/// nothing to hurry for but an answer: asked anew each second, a slow state service gave no leader for 20 s.
 const SEAT_PATIENCE: Span = Span::ms(1000);
+const CAMPAIGN_PATIENCE: Span = Span::ms(2500);
 /// How long a leader that gave the lead back leaves it to others.
 const SHUN: Span = Span::ms(20_000);
 
@@ -43,6 +45,7 @@
     rng: StdRng,
     now: Time,
     wall: Wall,
+    took: Span,
     out: Outbox,
     mirror: Mirror,
     follower: Follower,
@@ -68,6 +71,7 @@
     passing: Passing,
     features: Vec<Slot>,
     started: bool,
+    started_at: Time,
     #[cfg(any(test, feature = "world"))]
     old: bool,
 }
@@ -85,6 +89,7 @@
             rng: StdRng::seed_from_u64(seed),
             now: Time::default(),
             wall: Wall(0),
+            took: Span::default(),
             out: Outbox::new(settings.node.clone()),
             mirror: Mirror::default(),
             follower: Follower::new(Whose::Jobs, jobs::PREFIX, read_pause(&settings)),
@@ -108,6 +113,7 @@
             passing: Passing::default(),
             features: Vec::new(),
             started: false,
+            started_at: Time::default(),
             #[cfg(any(test, feature = "world"))]
             old: false,
             settings,
@@ -118,8 +124,10 @@
     pub fn step(&mut self, now: Now, input: Input) -> Vec<Effect> {
         self.now = now.steady;
         self.wall = now.wall;
+        self.took = now.took;
         if !self.started {
             self.started = true;
+            self.started_at = self.now;
             tracing::info!(node = %self.settings.node, "started");
         }
         // What only brings a feature's records up to date leaves the rest of the node as it was.
@@ -159,6 +167,7 @@
         let master = self.master.as_mut()?;
         let ctx = Ctx {
             now: self.now,
+            took: self.took,
             valid: self.seat.valid(self.now),
             holds: self.seat.leads(),
             fresh_at: self.follower.fresh_at(),
@@ -226,7 +235,8 @@
     }
 
     fn seat_sends(&mut self, request: StateRequest) {
-        let op = self.out.ask_state_for(request, SEAT_PATIENCE);
+        let patience = if self.seat.leads() { SEAT_PATIENCE } else { CAMPAIGN_PATIENCE };
+        let op = self.out.ask_state_for(request, patience);
         self.seat.sent(op);
     }
 
--- a/crates/scheduler/src/node/master/load.rs
+++ b/crates/scheduler/src/node/master/load.rs
@@ -2,7 +2,9 @@
 
 use super::*;
 
-const PAGE: u32 = 200;
+/// With a slow state service twenty-six pages one after the other took nine seconds
+/// after every change of leader (four times the andina fleet).
+const PAGE: u32 = 500;
 
 impl Master {
     /// Begins to read what the leaders before left.
