Gathering: nothing needless before most machines are heard; a stored level is not written anew

The new leader had delegated to nobody for 65 s: each restarted node writes its level first, and that change was refused while others used up the changes; alone it could not answer 5,264 workers, and gave up whom it did not hear.

Phases in crates/recovery: reading, gathering, squaring, steady; one table says what each allows. Unheard machines are given up, work is stopped for room, and machines are rented or returned only once 95% are heard (or two thirds after 2.5 intervals, or all leases are over). Silence of a fifth of every zone is the nodes' own. Nodes read the levels before they write theirs, and write only what is not stored.

--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -5,7 +5,9 @@
 #![forbid(unsafe_code)]
 
 mod pace;
+mod phases;
 mod table;
 
 pub use pace::Pace;
+pub use phases::{Act, Gathering, Phase};
 pub use table::{Case, Claim, Ending, Outcome, Said, Stored, Verdict, claim, square};
--- /dev/null
+++ b/crates/recovery/src/phases.rs
@@ -0,0 +1,159 @@
+//! How far a new leader is, and what it may do meanwhile.
+//!
+//! It goes machine by machine wherever it can: orders, starts and stops on a machine that is heard don't wait for the
+//! others. What is gated here is what a report on its way could prove needless: giving a machine up, stopping work to
+//! make room, renting.
+
+use pearford_types::{Span, Time};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// The stored records are not all read.
+    Reading,
+    /// Most machines' reports are still to come.
+    Gathering,
+    /// Nearly all are in; the rest are asked, and given up one by one if they don't answer.
+    Squaring,
+    Steady,
+}
+
+/// What a leader does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Act {
+    /// Answering reports, which renews leases.
+    Renew,
+    /// Stopping what is surely over.
+    Stop,
+    /// Starting work on a machine that is heard.
+    Start,
+    /// Stopping work to make room for other work.
+    Preempt,
+    Rent,
+    /// Returning a machine because it is not heard.
+    GiveUp,
+    /// Returning a machine that has had nothing to do.
+    ReturnIdle,
+}
+
+impl Phase {
+    /// The one table of what is allowed when.
+    pub fn allows(self, act: Act) -> bool {
+        match act {
+            Act::Renew | Act::Stop => true,
+            Act::Start => self >= Phase::Gathering,
+            // Room and machines that are merely unheard come back with their reports.
+            Act::Preempt | Act::Rent | Act::GiveUp | Act::ReturnIdle => self >= Phase::Squaring,
+        }
+    }
+}
+
+/// Parts of the machines that are heard for gathering to end, at once and after some intervals.
+const NEARLY_ALL: f64 = 0.95;
+const MOST: f64 = 0.67;
+/// A worker reports every interval, give or take a quarter, and finds a node within another.
+const INTERVALS: f64 = 2.5;
+
+/// What is waited for.
+#[derive(Debug, Clone)]
+pub struct Gathering {
+    interval: Span,
+    lease: Span,
+    read_at: Option<Time>,
+    phase: Phase,
+}
+
+impl Gathering {
+    /// `interval`: of workers' reports; `lease`: how long their tasks live without an answer.
+    pub fn new(interval: Span, lease: Span) -> Self {
+        Self { interval, lease, read_at: None, phase: Phase::Reading }
+    }
+
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    pub fn allows(&self, act: Act) -> bool {
+        self.phase.allows(act)
+    }
+
+    pub fn records_read(&mut self, now: Time) {
+        self.read_at.get_or_insert(now);
+        self.phase = self.phase.max(Phase::Gathering);
+    }
+
+    /// `heard` of `all` machines that should report have. Gives the phase if it is a new one; none is ever left for
+    /// an earlier one.
+    ///
+    /// Bounds: with nearly all heard at once; with most after 2.5 intervals; in any case once every lease that ran
+    /// when the records were read is over, since then what is unheard runs nothing.
+    pub fn heard(&mut self, heard: usize, all: usize, now: Time) -> Option<Phase> {
+        let waited = now.since(self.read_at?);
+        let share = if all == 0 { 1.0 } else { heard as f64 / all as f64 };
+        let next = match self.phase {
+            Phase::Reading => return None,
+            _ if waited >= self.lease || heard >= all => Phase::Steady,
+            _ if share >= NEARLY_ALL => Phase::Squaring,
+            _ if share >= MOST && waited >= self.interval.times(INTERVALS) => Phase::Squaring,
+            phase => phase,
+        };
+        let new = next > self.phase;
+        self.phase = self.phase.max(next);
+        new.then_some(next)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const T: fn(u64) -> Time = Time::from_ms;
+
+    fn gathering() -> Gathering {
+        Gathering::new(Span::secs(5.0), Span::secs(31.0))
+    }
+
+    #[test]
+    fn nothing_needless_is_done_before_most_are_heard() {
+        let mut g = gathering();
+        assert_eq!(g.heard(90, 100, T(500)), None, "nothing is judged before the records are read");
+        assert!(g.allows(Act::Renew) && g.allows(Act::Stop) && !g.allows(Act::Start));
+        g.records_read(T(1_000));
+        assert!(g.allows(Act::Start), "on machines that are heard");
+        for act in [Act::Preempt, Act::Rent, Act::GiveUp, Act::ReturnIdle] {
+            assert!(!g.allows(act), "{act:?}");
+        }
+        assert_eq!(g.heard(94, 100, T(5_000)), None);
+        assert_eq!(g.heard(95, 100, T(5_500)), Some(Phase::Squaring));
+        assert!(g.allows(Act::GiveUp) && g.allows(Act::Preempt));
+        assert_eq!(g.heard(50, 100, T(6_000)), None, "machines that come up don't take it back");
+        assert_eq!(g.heard(100, 100, T(7_000)), Some(Phase::Steady));
+    }
+
+    /// 2,375 living machines were returned as lost half a minute after a take-over, since one node alone could not
+    /// answer them all (four times the andina fleet, all nodes crashed for 50 s).
+    #[test]
+    fn while_few_are_heard_the_bound_is_the_lease() {
+        let mut g = gathering();
+        g.records_read(T(0));
+        for at in (0..31_000).step_by(500) {
+            assert_eq!(g.heard(600, 1_000, T(at)), None, "at {at}");
+        }
+        assert_eq!(g.heard(600, 1_000, T(31_000)), Some(Phase::Steady));
+        let mut g = gathering();
+        g.records_read(T(0));
+        assert_eq!(g.heard(700, 1_000, T(12_400)), None);
+        assert_eq!(g.heard(700, 1_000, T(12_500)), Some(Phase::Squaring));
+    }
+
+    #[test]
+    fn the_table_only_opens_from_phase_to_phase() {
+        use Act::*;
+        let phases = [Phase::Reading, Phase::Gathering, Phase::Squaring, Phase::Steady];
+        for act in [Renew, Stop, Start, Preempt, Rent, GiveUp, ReturnIdle] {
+            for pair in phases.windows(2) {
+                assert!(pair[1].allows(act) || !pair[0].allows(act), "{act:?} at {pair:?}");
+            }
+            assert!(Phase::Steady.allows(act));
+        }
+    }
+}
--- a/crates/scheduler/src/compat/mod.rs
+++ b/crates/scheduler/src/compat/mod.rs
@@ -24,6 +24,7 @@
 const PREFIX: &str = "level/";
 const NODES: &str = "level/node/";
 const MARK: &str = "level/reached";
+const VERSION: &str = env!("CARGO_PKG_VERSION");
 const PAUSE: Span = Span::ms(1000);
 /// Once all is reached a look now and then suffices, for operators.
 const LONG_PAUSE: Span = Span::ms(60_000);
@@ -48,6 +49,8 @@
     node: NodeName,
     nodes: Vec<NodeName>,
     announced: bool,
+    /// What is stored was read once since this node started.
+    looked: bool,
     reached: Level,
     mark_stamp: Stamp,
     seen: BTreeMap<NodeName, NodeValue>,
@@ -62,6 +65,7 @@
             node,
             nodes,
             announced: false,
+            looked: false,
             reached: 0,
             mark_stamp: Stamp(0),
             seen: BTreeMap::new(),
@@ -90,8 +94,11 @@
         }
         let all = self.nodes().map(|(_, level, _)| level).min().unwrap_or(0).min(OURS);
         let (step, request) = match fence {
-            _ if !self.announced => {
-                let value = NodeValue { level: OURS, version: env!("CARGO_PKG_VERSION").into() };
+            // What an earlier run wrote needs no change. (Each restart wrote it anew; after all nodes had crashed that
+            // was refused for a minute while others used up the changes, and the new leader delegated to nobody:
+            // four times the andina fleet.)
+            _ if self.looked && !self.announced => {
+                let value = NodeValue { level: OURS, version: VERSION.into() };
                 let value = serde_json::to_string(&value).unwrap_or_default();
                 let key = format!("{NODES}{}", self.node);
                 let put = Change::Put { key, value, permit: None };
@@ -119,9 +126,13 @@
             }
             (Step::Look, StateReply::Pairs { pairs, .. }) => {
                 pairs.iter().for_each(|p| self.learn(p));
-                if self.reached >= OURS {
-                    self.next = now + LONG_PAUSE;
-                }
+                self.looked = true;
+                self.announced |= self.has_said();
+                self.next = match (self.announced, self.reached >= OURS) {
+                    (false, _) => now,
+                    (true, true) => now + LONG_PAUSE,
+                    (true, false) => now + PAUSE,
+                };
             }
             (Step::Mark(level), StateReply::Committed { epoch }) => {
                 tracing::info!(level, "every node understands this level now");
@@ -139,6 +150,11 @@
         self.reached = OURS;
     }
 
+    /// Whether what this node has to say is stored.
+    fn has_said(&self) -> bool {
+        self.seen.get(&self.node).is_some_and(|v| v.level == OURS && v.version == VERSION)
+    }
+
     fn learn(&mut self, pair: &Pair) {
         if pair.key == MARK {
             self.mark_stamp = pair.stamp;
@@ -339,6 +355,11 @@
     fn a_level_is_reached_when_every_configured_node_has_said_so_and_never_earlier() {
         let mut l = Levels::new("n0".into(), ["n1", "n2"].map(NodeName::from).into_iter());
         let mut now = Time::from_ms(1);
+        assert!(
+            matches!(l.tick(now, Some(Fence(9))), Some(StateRequest::Range { .. })),
+            "it looks what is stored"
+        );
+        l.reply(now, StateReply::Pairs { pairs: Vec::new(), more: false, epoch: 1 });
         let first = l.tick(now, Some(Fence(9))).expect("it announces itself first");
         assert!(
             matches!(&first, StateRequest::Commit { changes, .. } if changes[0].key() == "level/node/n0")
@@ -369,4 +390,20 @@
         l.reply(now, StateReply::Committed { epoch: 5 });
         assert_eq!(l.reached(), 1);
     }
+
+    /// A restart wrote the same again, which was refused while others used up the changes.
+    #[test]
+    fn a_node_whose_level_is_stored_says_nothing_anew_and_one_that_went_back_does() {
+        for (stored, says) in [(OURS, false), (OURS + 1, true)] {
+            let mut l = Levels::new("n0".into(), std::iter::empty());
+            let now = Time::from_ms(1);
+            l.tick(now, None).expect("it looks");
+            let value = format!("{{\"level\":{stored},\"version\":\"{VERSION}\"}}");
+            let pairs = vec![pair("level/node/n0", &value), pair(MARK, &OURS.to_string())];
+            l.reply(now, StateReply::Pairs { pairs, more: false, epoch: 3 });
+            assert_eq!(l.reached(), OURS);
+            let next = l.tick(now + PAUSE, None);
+            assert_eq!(matches!(next, Some(StateRequest::Commit { .. })), says, "{stored}: {next:?}");
+        }
+    }
 }
--- a/crates/scheduler/src/node/master/load.rs
+++ b/crates/scheduler/src/node/master/load.rs
@@ -1,6 +1,7 @@
 //! Taking over: reading all records before anything is judged or done.
 
 use super::*;
+use pearford_recovery::Phase;
 
 /// With a slow state service twenty-six pages one after the other took nine seconds
 /// after every change of leader (four times the andina fleet).
@@ -62,11 +63,26 @@
             return;
         }
         self.stocked = true;
+        self.gathering.records_read(ctx.now);
         self.take_stock(ctx.mirror, ctx.now);
         tracing::info!(machines = self.machines.len(), jobs = self.runs.len(), "records read");
         self.take_early(ctx);
     }
 
+    /// How far the reports are in.
+    pub(super) fn gather(&mut self, now: Time) {
+        if self.gathering.phase() == Phase::Steady {
+            return;
+        }
+        let up = self.machines.values().filter(|m| m.standing == Standing::Up);
+        let (heard, all) = up.fold((0, 0), |(heard, all), m| (heard + usize::from(m.heard()), all + 1));
+        if let Some(phase) = self.gathering.heard(heard, all, now) {
+            let after_ms = now.since(self.since).0;
+            tracing::info!(fence = %self.fence, after_ms, ?phase, heard, of = all, "take-over");
+            self.room_version += 1;
+        }
+    }
+
     /// Job records changed, here or at another node.
     pub(in crate::node) fn jobs_changed(&mut self, ctx: &Ctx, ids: Vec<JobId>) {
         if !self.loaded() {
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -41,7 +41,7 @@
 use crate::workers::{Digest, Health, Machine, Outcome, Standing};
 use cloud::CloudOp;
 use pearford_homes::{Full, Hub};
-use pearford_recovery::Pace;
+use pearford_recovery::{Act, Gathering, Pace};
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::cmp::Reverse;
@@ -183,6 +183,7 @@
     /// Orders that go out with answers to the next reports at other nodes.
     errands: BTreeMap<NodeName, Vec<(MachineId, Vec<workers::Order>)>>,
     phases: homes::Phases,
+    gathering: Gathering,
     reload: Vec<(Time, LeaderOp)>,
     recheck: Vec<(Time, String)>,
 }
@@ -381,6 +382,10 @@
             early,
             errands: BTreeMap::new(),
             phases: homes::Phases::default(),
+            gathering: Gathering::new(
+                Span::secs(settings.workers.report_s),
+                Span::secs(settings.workers.lease_s),
+            ),
             reload: Vec::new(),
             recheck: Vec::new(),
             settings,
@@ -449,6 +454,7 @@
         if self.self_cut_off(ctx.peers.hear_workers(now), now) {
             return Some(Leave::Resign("most workers are silent: the fault may be here"));
         }
+        self.gather(now);
         self.drain_warned(now);
         self.mend_gangs(now);
         self.find_lost(ctx.peers.zones_heard(), now);
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -12,6 +12,8 @@
 const ZONE_SILENT: f64 = 0.34;
 const ZONE_QUIET: Span = Span::ms(2000);
 const ZONE_MOSTLY: f64 = 0.67;
+/// Part of each zone that, silent together, speaks of the nodes and not of the machines.
+const FLEET_SILENT: f64 = 0.2;
 /// A cut-off worker kills its tasks when its lease ends; shortly before, waiting gains no more.
 const LEASE_MARGIN_S: f64 = 2.0;
 /// Jobs that have to fail on a machine, with none done between, before it counts as faulty.
@@ -120,16 +122,22 @@
             zone.silent += u32::from(m.last_report.is_some_and(|at| now.since(at) > late));
             zone.newest = zone.newest.max(m.last_report.unwrap_or_default());
         }
-        let cut: BTreeSet<Zone> =
-            zones.into_iter().filter(|(_, z)| z.is_cut(now)).map(|(zone, _)| zone.clone()).collect();
+        // Silence of a good part of every zone is ours: too few nodes, or overloaded ones, hear the workers.
+        let everywhere =
+            zones.len() > 1 && zones.values().all(|z| f64::from(z.silent) > FLEET_SILENT * f64::from(z.all));
+        let cut = zones.into_iter().filter(|(_, z)| everywhere || z.is_cut(now));
+        let cut: BTreeSet<Zone> = cut.map(|(zone, _)| zone.clone()).collect();
         let lost_after = report.times(o.lost_reports);
         let lease_ends = Span::secs(self.settings.workers.lease_s - LEASE_MARGIN_S);
+        let may_give_up = self.gathering.allows(Act::GiveUp);
         for m in self.machines.values_mut() {
             let lost = match (m.standing, m.last_report) {
                 (Standing::Up, Some(at)) if cut.contains(&m.zone) => {
                     let heard = zones_heard.get(&m.zone).map_or(at, |heard| at.min(*heard));
                     !suspect && now.since(heard) > lost_after.max(lease_ends)
                 }
+                // Just after a take-over it may be this leader that is not found yet.
+                (Standing::Up, Some(_)) if !m.heard() && !may_give_up => false,
                 (Standing::Up, Some(at)) => {
                     !suspect && (now.since(at) > lost_after || m.unanswered >= PROBES_LOST)
                 }
@@ -192,10 +200,11 @@
     /// Machines to return now.
     pub(super) fn returns(&mut self, now: Time) -> Vec<(CloudRequest, CloudOp)> {
         let idle = Span::secs(self.settings.operator.idle_return_s);
+        let may_return = self.gathering.allows(Act::ReturnIdle);
         for m in self.machines.values_mut() {
             let empty = m.entries.is_empty() && m.strays.is_empty();
             let idle_for = m.empty_since.map(|at| now.since(at)).unwrap_or_default();
-            if m.standing == Standing::Up && empty && (idle_for >= idle || m.draining) {
+            if m.standing == Standing::Up && may_return && empty && (idle_for >= idle || m.draining) {
                 tracing::info!(machine = %m.id, faulty = m.draining, "idle; returning it");
                 m.standing = Standing::Releasing;
                 self.blocks.remove(&m.id);
@@ -362,7 +371,8 @@
     }
 
     pub(super) fn rentals(&mut self, now: Time) -> Vec<(CloudRequest, CloudOp)> {
-        if now < self.rent_not_before
+        if !self.gathering.allows(Act::Rent)
+            || now < self.rent_not_before
             || now.since(self.since) < Span::ms(2000)
             || self.market.types.is_empty()
         {
@@ -431,6 +441,8 @@
         for (i, zone) in zones.iter().enumerate() {
             m.take_report(&report(&format!("m-{i}"), zone, 1), Time::from_ms(1_000));
         }
+        m.gathering.records_read(Time::from_ms(1_000));
+        m.gather(Time::from_ms(1_000));
         m
     }
 
