--- a/crates/scheduler/src/jobs/mod.rs
+++ b/crates/scheduler/src/jobs/mod.rs
@@ -4,10 +4,12 @@
 mod desk;
 pub mod graph;
 mod run;
+mod served;
 
 pub use admission::Admission;
 pub use desk::{Ask, Desk, Refusal, Waiting};
 pub use run::{Bits, CHUNK, Run};
+pub use served::{Served, Stage};
 
 use crate::settings::Settings;
 use crate::types::{Image, JobId, Kind, NodeName, Room, Span, Stamp, TeamName, TypeName, Wall, Zone};
--- a/crates/scheduler/src/jobs/run.rs
+++ b/crates/scheduler/src/jobs/run.rs
@@ -82,6 +82,8 @@
     pub why: &'static str,
     /// First time that all tasks were done, while that waits to be written.
     pub finishing: bool,
+    /// A task of it has been seen to run under this leader.
+    pub started: bool,
     /// Lowest index that may still wait; keeps scans of large arrays short.
     low: u32,
 }
@@ -105,6 +107,7 @@
             promised: 0,
             why: "new",
             finishing: false,
+            started: false,
             low: 0,
         }
     }
--- /dev/null
+++ b/crates/scheduler/src/jobs/served.rs
@@ -0,0 +1,83 @@
+//! How many jobs of each class and team were accepted, started and done, for operators: a class or a team that gets
+//! nothing under overload shows here first.
+
+use super::JobSpec;
+use crate::types::{Kind, TeamName};
+use std::collections::BTreeMap;
+
+/// Pairs of class and team that are told apart; classes are named by users.
+const MOST: usize = 256;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    Accepted,
+    Started,
+    Done,
+}
+
+const STAGES: [(Stage, &str); 3] =
+    [(Stage::Accepted, "accepted"), (Stage::Started, "started"), (Stage::Done, "done")];
+
+#[derive(Debug, Clone, Default)]
+pub struct Served {
+    counts: BTreeMap<(Kind, TeamName), [u64; 3]>,
+    /// What came when there were too many to tell apart.
+    others: [u64; 3],
+}
+
+impl Served {
+    pub fn count(&mut self, stage: Stage, spec: &JobSpec) {
+        let key = (spec.kind.clone(), spec.team.clone());
+        let counts = match self.counts.len() < MOST || self.counts.contains_key(&key) {
+            true => self.counts.entry(key).or_default(),
+            false => &mut self.others,
+        };
+        counts[stage as usize] += 1;
+    }
+
+    /// Takes over what was counted under a leadership that is over.
+    pub fn add(&mut self, other: Served) {
+        for (key, n) in other.counts {
+            let counts = match self.counts.len() < MOST || self.counts.contains_key(&key) {
+                true => self.counts.entry(key).or_default(),
+                false => &mut self.others,
+            };
+            (0..3).for_each(|i| counts[i] += n[i]);
+        }
+        (0..3).for_each(|i| self.others[i] += other.others[i]);
+    }
+
+    pub fn metrics(&self, lines: &mut Vec<String>) {
+        for (stage, name) in STAGES {
+            let i = stage as usize;
+            for ((class, team), n) in self.counts.iter().filter(|(_, n)| n[i] > 0) {
+                lines.push(format!("pearford_jobs_{name}{{class=\"{class}\",team=\"{team}\"}} {}", n[i]));
+            }
+            if self.others[i] > 0 {
+                lines.push(format!("pearford_jobs_{name}{{class=\"\",team=\"\"}} {}", self.others[i]));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn classes_are_bounded_and_nothing_is_left_out() {
+        let (mut served, mut spec) = (Served::default(), crate::jobs::tests::spec());
+        for i in 0..MOST + 40 {
+            spec.kind = format!("c{i}").as_str().into();
+            served.count(Stage::Accepted, &spec);
+        }
+        let mut all = Served::default();
+        all.add(served.clone());
+        all.add(served);
+        let mut lines = Vec::new();
+        all.metrics(&mut lines);
+        assert_eq!(lines.len(), MOST + 1);
+        assert_eq!(lines.last().map(String::as_str), Some("pearford_jobs_accepted{class=\"\",team=\"\"} 80"));
+        assert!(lines[0].ends_with(" 2"), "{}", lines[0]);
+    }
+}
--- a/crates/scheduler/src/leader/mod.rs
+++ b/crates/scheduler/src/leader/mod.rs
@@ -24,8 +24,10 @@
 enum Stage {
     Idle,
     Looking,
+    /// `over`: the version of the key that is to be replaced, 0 if there is none.
     Granting {
         sent: Time,
+        over: Stamp,
     },
     Taking {
         permit: Permit,
@@ -133,10 +135,16 @@
         self.op = None;
         match (self.stage, reply) {
             (Stage::Looking, StateReply::Missing { .. }) => {
-                self.stage = Stage::Granting { sent: now };
+                self.stage = Stage::Granting { sent: now, over: Stamp(0) };
                 (Turn::Nothing, Some(StateRequest::Grant { life_ms: self.life.0 }))
             }
-            (Stage::Granting { sent }, StateReply::Granted(permit)) => {
+            // The key of this node's run before: that run is over, and nobody need wait until its grant is. Were it
+            // not over (two processes of one name), it would lose the key as to any other leader.
+            (Stage::Looking, StateReply::Found(pair)) if self.is_left_over(&pair) => {
+                self.stage = Stage::Granting { sent: now, over: pair.stamp };
+                (Turn::Nothing, Some(StateRequest::Grant { life_ms: self.life.0 }))
+            }
+            (Stage::Granting { sent, over }, StateReply::Granted(permit)) => {
                 self.stage = Stage::Taking { permit, sent };
                 let value = KeyValue { node: self.node.clone(), permit };
                 let put = Change::Put {
@@ -144,7 +152,7 @@
                     value: serde_json::to_string(&value).unwrap_or_default(),
                     permit: Some(permit),
                 };
-                let conditions = vec![(KEY.to_string(), Stamp(0))];
+                let conditions = vec![(KEY.to_string(), over)];
                 (Turn::Nothing, Some(StateRequest::Commit { conditions, changes: vec![put] }))
             }
             (Stage::Taking { permit, sent }, StateReply::Committed { epoch }) => {
@@ -189,6 +197,12 @@
         }
     }
 
+    /// Whether the key was set by an earlier run of this node: this one has not led yet.
+    fn is_left_over(&self, pair: &Pair) -> bool {
+        self.fence == Fence(0)
+            && serde_json::from_str::<KeyValue>(&pair.value).is_ok_and(|v| v.node == self.node)
+    }
+
     fn is_mine(&self, pair: &Pair, permit: Permit) -> bool {
         serde_json::from_str::<KeyValue>(&pair.value).is_ok_and(|v| v.node == self.node && v.permit == permit)
     }
@@ -247,6 +261,30 @@
         assert!(!s.leads());
     }
 
+    /// With all nodes crashing every few seconds nobody led for 20 s: each new run waited for its own old grant.
+    #[test]
+    fn a_new_run_takes_the_key_of_the_run_before_and_nobody_elses() {
+        let key = |node: &str| Pair {
+            key: KEY.into(),
+            value: format!(r#"{{"node":"{node}","permit":3}}"#),
+            stamp: Stamp(12),
+        };
+        let t = Time::from_ms;
+        let mut s = Seat::new("n0".into(), Span::ms(4000), Span::ms(1000));
+        s.tick(t(10), false, Span::ms(0)).expect("looks");
+        assert_eq!(s.reply(t(20), StateReply::Found(key("n1"))).1, None);
+        s.tick(t(900), false, Span::ms(0)).expect("looks again");
+        assert!(matches!(s.reply(t(910), StateReply::Found(key("n0"))).1, Some(StateRequest::Grant { .. })));
+        let (_, next) = s.reply(t(920), StateReply::Granted(Permit(7)));
+        let Some(StateRequest::Commit { conditions, .. }) = next else { panic!("it takes the key") };
+        assert_eq!(conditions, [(KEY.to_string(), Stamp(12))], "if it is still that one");
+        assert_eq!(s.reply(t(930), StateReply::Committed { epoch: 41 }).0, Turn::Won(Fence(41)));
+        // Once it has led, its name in the key says nothing: it may have given the lead up itself.
+        s.step_down(t(2000));
+        s.tick(t(3000), false, Span::ms(0)).expect("looks");
+        assert_eq!(s.reply(t(3010), StateReply::Found(key("n0"))).1, None);
+    }
+
     #[test]
     fn a_lost_answer_to_the_claim_is_looked_up() {
         let mut s = Seat::new("n0".into(), Span::ms(4000), Span::ms(1000));
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -13,7 +13,7 @@
 use super::{Effect, Input, Method, Now};
 use crate::blocks::{Envelope, PeerMessage};
 use crate::compat::Levels;
-use crate::jobs::{self, Desk, Mirror};
+use crate::jobs::{self, Desk, Mirror, Served};
 use crate::leader::{self, Seat, Turn};
 use crate::placement::{self, COUNTS_PREFIX, Counts, Factors};
 use crate::settings::Settings;
@@ -69,6 +69,7 @@
     master: Option<Master>,
     delegate: Delegate,
     passing: Passing,
+    served: Served,
     features: Vec<Slot>,
     started: bool,
     started_at: Time,
@@ -111,6 +112,7 @@
             master: None,
             delegate: Delegate::new(settings.node.clone()),
             passing: Passing::default(),
+            served: Served::default(),
             features: Vec::new(),
             started: false,
             started_at: Time::default(),
@@ -384,7 +386,8 @@
     }
 
     fn step_down(&mut self, why: &str) {
-        if self.master.take().is_some() {
+        if let Some(master) = self.master.take() {
+            self.served.add(master.into_served());
             self.out.forget_relays();
             tracing::warn!(why, "leads no longer");
         }
@@ -507,9 +510,12 @@
         }
         lines.push(format!("pearford_level_reached {}", self.levels.reached()));
         lines.push(format!("pearford_jobs_awaiting {}", self.mirror.graph().waiting()));
+        let mut served = self.served.clone();
         if let Some(master) = &self.master {
             master.metrics(&mut lines);
+            served.add(master.served().clone());
         }
+        served.metrics(&mut lines);
         self.features_metrics(&mut lines);
         lines.join("\n") + "\n"
     }
--- a/crates/scheduler/src/node/core/users.rs
+++ b/crates/scheduler/src/node/core/users.rs
@@ -160,8 +160,9 @@
         match reply {
             StateReply::Committed { epoch } => {
                 let id = waiting.id.clone();
-                self.mirror.learn(id.clone(), Stamp(epoch), Record::Open(job));
-                tracing::info!(job = %id, "accepted");
+                self.mirror.learn(id.clone(), Stamp(epoch), Record::Open(job.clone()));
+                tracing::info!(job = %id, class = %job.spec.kind, team = %job.spec.team, "accepted");
+                self.served.count(jobs::Stage::Accepted, &job.spec);
                 // Withdrawn at once, if one that it names is.
                 let phase = self.mirror.verdict(&id).unwrap_or(Phase::Pending);
                 self.out.answer(waiting.request, 201, users::status(&id, phase, None));
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -24,7 +24,7 @@
 use crate::blocks::{Blocks, PeerMessage};
 use crate::fleet::{self, Coming, Market, Need, Offer};
 use crate::gangs::{self, Attempts};
-use crate::jobs::{self, JobSpec, Mirror, Priority, Record, Run, Shape};
+use crate::jobs::{self, JobSpec, Mirror, Priority, Record, Run, Served, Shape};
 use crate::leader;
 use crate::ledger::{self, Entry, EntryState, Haste, Journal, MachineRecord};
 use crate::placement::{self, Counts, Factors, Learned, MachineView, Proposal, TaskAsk};
@@ -184,6 +184,7 @@
     errands: BTreeMap<NodeName, Vec<(MachineId, Vec<workers::Order>)>>,
     phases: homes::Phases,
     gathering: Gathering,
+    served: Served,
     reload: Vec<(Time, LeaderOp)>,
     recheck: Vec<(Time, String)>,
 }
@@ -382,6 +383,7 @@
             early,
             errands: BTreeMap::new(),
             phases: homes::Phases::default(),
+            served: Served::default(),
             gathering: Gathering::new(
                 Span::secs(settings.workers.report_s),
                 Span::secs(settings.workers.lease_s),
@@ -409,6 +411,15 @@
         self.fence
     }
 
+    /// Jobs started and done under this leadership.
+    pub(super) fn served(&self) -> &Served {
+        &self.served
+    }
+
+    pub(super) fn into_served(self) -> Served {
+        self.served
+    }
+
     /// Whether starts may leave: validly leading, all records read, withdrawals known.
     fn may_start(&self, ctx: &Ctx) -> bool {
         ctx.valid && self.loaded() && ctx.now.since(ctx.fresh_at) < START_FRESHNESS
@@ -516,6 +527,7 @@
         lines.push(format!("pearford_jobs_open {}", self.runs.len()));
         lines.push(format!("pearford_tasks_waiting {waiting}"));
         lines.push(format!("pearford_journal_backlog {}", self.journal.backlog()));
+        lines.push(format!("pearford_recovery_phase {}", self.gathering.phase() as u8));
         for (node, machines) in self.hub.counts() {
             lines.push(format!("pearford_reports_home{{node=\"{node}\"}} {machines}"));
         }
--- a/crates/scheduler/src/node/master/stock.rs
+++ b/crates/scheduler/src/node/master/stock.rs
@@ -1,7 +1,7 @@
 //! Taking over, reports and their outcomes: what the ledger and the runs learn.
 
 use super::*;
-use crate::jobs::PROGRESS_PREFIX;
+use crate::jobs::{PROGRESS_PREFIX, Stage};
 use pearford_recovery::{Claim, Ending, Stored, claim};
 
 /// How long nothing is placed on a machine whose record the state service refuses.
@@ -264,6 +264,12 @@
         for task in digest.began {
             tracing::debug!(%task, %machine, "runs");
             self.touch(&task.job);
+            if let Some(run) = self.runs.get_mut(&task.job).filter(|run| !run.started) {
+                run.started = true;
+                let spec = &run.job.spec;
+                tracing::info!(job = %task.job, class = %spec.kind, team = %spec.team, "started");
+                self.served.count(Stage::Started, spec);
+            }
         }
         for task in digest.fetched {
             let Some(run) = self.runs.get(&task.job) else { continue };
