Machines that died with the leader don't hold up gathering: nine tenths heard are enough

Unheard machines are given up 1.9 intervals after the records are read at the soonest, which is when two questions have gone unanswered.

--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -129,7 +129,7 @@
         let cut: BTreeSet<Zone> = cut.map(|(zone, _)| zone.clone()).collect();
         let lost_after = report.times(o.lost_reports);
         let lease_ends = Span::secs(self.settings.workers.lease_s - LEASE_MARGIN_S);
-        let may_give_up = self.gathering.allows(Act::GiveUp);
+        let may_give_up = self.gathering.may_give_up(now);
         for m in self.machines.values_mut() {
             let lost = match (m.standing, m.last_report) {
                 (Standing::Up, Some(at)) if cut.contains(&m.zone) => {
