--- a/crates/cell/src/cloud.rs
+++ b/crates/cell/src/cloud.rs
@@ -1,7 +1,7 @@
 //! A stand-in of the cloud: rents machines, which are tasks of this process.
 
 use crate::state::State;
-use crate::worker;
+use crate::worker::{self, Worker};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -18,6 +18,7 @@
     zone: String,
     spot: bool,
     since: Instant,
+    worker: Worker,
     runs: JoinHandle<()>,
     addr: SocketAddr,
 }
@@ -47,6 +48,31 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Makes `n` machines that have work hang for good; gives how many did.
+    pub fn silence(&self, n: usize) -> usize {
+        let inner = self.lock();
+        let workers = inner.machines.values().map(|m| &m.worker);
+        let with_work = workers.filter(|w| !w.is_silent() && !w.present().is_empty());
+        with_work.take(n).map(Worker::fall_silent).count()
+    }
+
+    /// On how many machines each task is. Those of silent machines count until the machines are returned.
+    pub fn present(&self) -> BTreeMap<String, usize> {
+        let mut places = BTreeMap::new();
+        for machine in self.lock().machines.values() {
+            for task in machine.worker.present() {
+                *places.entry(task).or_default() += 1;
+            }
+        }
+        places
+    }
+
+    /// Machines, silent ones among them.
+    pub fn machines(&self) -> (usize, usize) {
+        let inner = self.lock();
+        (inner.machines.len(), inner.machines.values().filter(|m| m.worker.is_silent()).count())
+    }
+
     fn types(&self) -> Value {
         json!({"flavors": [{"name": "std", "vcpus": 32, "accelerators": 8, "memory_gb": 256, "local_gb": 100,
             "pull_gb_per_s": 10.0, "hourly": 8.0, "low_price": 3.0, "ready_s": 1, "regions": self.zones}]})
@@ -67,10 +93,13 @@
             let place =
                 worker::Place { id: id.clone(), type_name: text("flavor"), zone: text("region"), spot };
             let zone = place.zone.clone();
-            let Ok((addr, runs)) = worker::start(place, self.nodes.clone(), self.state.clone()) else {
+            let Ok((addr, worker, runs)) = worker::start(place, self.nodes.clone(), self.state.clone())
+            else {
                 break;
             };
-            inner.machines.insert(id.clone(), Machine { zone, spot, since: Instant::now(), runs, addr });
+            inner
+                .machines
+                .insert(id.clone(), Machine { zone, spot, since: Instant::now(), worker, runs, addr });
             hosts.push(id);
         }
         if hosts.is_empty() {
--- a/crates/cell/src/cluster.rs
+++ b/crates/cell/src/cluster.rs
@@ -27,6 +27,8 @@
     plan: Plan,
     folder: TempDir,
     nodes: Vec<Option<Child>>,
+    /// The stand-in that rents the machines.
+    pub cloud: Cloud,
     /// Where users and workers turn to.
     pub api: Vec<SocketAddr>,
     /// Where the port in the operators' file has come to be.
@@ -74,18 +76,18 @@
         let state = State::default();
         let zones = (0..plan.nodes).map(|i| format!("z{i}")).collect();
         let cloud = Cloud::new(state.clone(), api.to_vec(), zones);
-        let (state, cloud) = (state.serve()?, cloud.serve()?);
+        let (state_addr, cloud_addr) = (state.serve()?, cloud.serve()?);
         let folder = TempDir::new()?;
         for (i, door) in doors.iter().enumerate() {
             std::fs::write(
                 folder.path().join(format!("n{i}.toml")),
-                settings(&plan, i, api, back, cloud, state),
+                settings(&plan, i, api, back, cloud_addr, state_addr),
             )?;
             let operator = plan.operator.replace("PORT", &door.port().to_string());
             std::fs::write(folder.path().join(format!("n{i}.yaml")), operator)?;
         }
         let nodes = (0..plan.nodes).map(|_| None).collect();
-        let mut cluster = Self { plan, folder, nodes, api: api.to_vec(), doors: doors.to_vec() };
+        let mut cluster = Self { plan, folder, nodes, cloud, api: api.to_vec(), doors: doors.to_vec() };
         for i in 0..cluster.plan.nodes {
             cluster.start_node(i)?;
         }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -40,10 +40,12 @@
     fence: u64,
     tasks: BTreeMap<String, Task>,
     state: State,
+    /// The machine hangs, or is dead: nobody hears of it, and what runs there is counted until it is returned.
+    silent: bool,
 }
 
 #[derive(Clone)]
-struct Worker(Arc<Mutex<Inner>>);
+pub(crate) struct Worker(Arc<Mutex<Inner>>);
 
 impl Inner {
     fn report(&mut self) -> Value {
@@ -101,6 +103,21 @@
 }
 
 impl Worker {
+    /// From now on it neither reports nor answers.
+    pub(crate) fn fall_silent(&self) {
+        self.lock().silent = true;
+    }
+
+    pub(crate) fn is_silent(&self) -> bool {
+        self.lock().silent
+    }
+
+    /// Tasks that are on the machine.
+    pub(crate) fn present(&self) -> Vec<String> {
+        let present = |t: &Task| !t.stopped && t.runs.is_none_or(|runs| t.began.elapsed() < FETCH + runs);
+        self.lock().tasks.iter().filter(|(_, t)| present(t)).map(|(name, _)| name.clone()).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -109,6 +126,9 @@
         let client: Client<HttpConnector, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
         let mut at = 0;
         loop {
+            if self.is_silent() {
+                return;
+            }
             let body = self.lock().report().to_string();
             let uri = format!("http://{}/v1/report", nodes[at % nodes.len()]);
             let answer = async {
@@ -120,7 +140,10 @@
             };
             match tokio::time::timeout(PATIENCE, answer).await.ok().flatten() {
                 Some((200, answer)) => {
-                    self.lock().obey(&answer);
+                    let mut inner = self.lock();
+                    if !inner.silent {
+                        inner.obey(&answer);
+                    }
                 }
                 _ => at += 1,
             }
@@ -134,18 +157,28 @@
     place: Place,
     nodes: Vec<SocketAddr>,
     state: State,
-) -> std::io::Result<(SocketAddr, JoinHandle<()>)> {
+) -> std::io::Result<(SocketAddr, Worker, JoinHandle<()>)> {
     let addr = SocketAddr::from(([127, 0, 0, 1], 0));
-    let inner = Inner { place, addr, serial: 0, fence: 0, tasks: BTreeMap::new(), state };
+    let inner = Inner { place, addr, serial: 0, fence: 0, tasks: BTreeMap::new(), state, silent: false };
     let worker = Worker(Arc::new(Mutex::new(inner)));
     let direct = worker.clone();
-    let addr = crate::serve(warp::body::bytes().map(move |body: Bytes| {
+    let answer = move |body: Bytes| {
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let mut inner = direct.lock();
         let done = body.is_null() || (body["tenure"] == 1 && inner.obey(&body));
         let status = if done { warp::http::StatusCode::OK } else { warp::http::StatusCode::CONFLICT };
         warp::reply::with_status(warp::reply::json(&inner.report()), status)
+    };
+    let asked = worker.clone();
+    let addr = crate::serve(warp::body::bytes().then(move |body: Bytes| {
+        let (answer, silent) = (answer.clone(), asked.is_silent());
+        async move {
+            if silent {
+                std::future::pending::<()>().await;
+            }
+            answer(body)
+        }
     }))?;
     worker.lock().addr = addr;
-    Ok((addr, tokio::spawn(worker.reports(nodes))))
+    Ok((addr, worker.clone(), tokio::spawn(worker.reports(nodes))))
 }
--- /dev/null
+++ b/crates/pearford/tests/recovery.rs
@@ -0,0 +1,102 @@
+//! Three real processes and sixty stand-in workers on loopback: all nodes are killed and started again, ten times, while
+//! a fifth of the machines falls silent. Nothing is lost, and nothing runs twice.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use pearford_cell::cluster::{Cluster, Plan};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+const JOBS: usize = 15;
+const TASKS: usize = 4;
+const KILLS: usize = 10;
+/// A fifth of the machines, two at a time.
+const SILENCED_AT: [usize; 6] = [0, 1, 3, 4, 6, 7];
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+async fn ask(http: &Http, uri: String, body: Option<Value>) -> Option<(u16, Value)> {
+    let request = match body {
+        Some(body) => http::Request::post(uri).body(Full::new(Bytes::from(body.to_string()))),
+        None => http::Request::get(uri).body(Full::default()),
+    };
+    let answer = async {
+        let response = http.request(request.ok()?).await.ok()?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+    };
+    tokio::time::timeout(Duration::from_secs(5), answer).await.ok().flatten()
+}
+
+/// One task takes a whole machine.
+fn service(n: usize) -> Value {
+    json!({"id": format!("req-{n:06}"), "job_class": "quotes", "owner": if n.is_multiple_of(2) { "red" } else { "blue" },
+        "shape": "daemon", "urgency": "production", "shards": TASKS, "vcpus": 4.0, "accelerators": 8.0, "memory_gb": 8.0,
+        "bundle": "img-1", "image_gb": 1.0, "flavors": null, "region": null, "together": false, "spread": true,
+        "preemptible": true, "expected_s": 0.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0, "due_s": null})
+}
+
+/// Waits until every task is on a machine that is heard of, and never on two.
+async fn settled(cluster: &Cluster, what: &str) {
+    let began = Instant::now();
+    loop {
+        let present = cluster.cloud.present();
+        let twice: Vec<_> = present.iter().filter(|(_, n)| **n > 1).collect();
+        assert!(twice.is_empty(), "{what}: on two machines: {twice:?}");
+        let (_, silent) = cluster.cloud.machines();
+        if present.len() == JOBS * TASKS && silent == 0 {
+            return;
+        }
+        let logs = || (0..3).map(|i| cluster.log(i)).collect::<String>();
+        let (machines, of) = (cluster.cloud.machines(), present.len());
+        assert!(began.elapsed() < Duration::from_secs(60), "{what}: {of} tasks, {machines:?}; {}", logs());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_nodes_killed_ten_times_lose_nothing_and_start_nothing_twice() {
+    let teams = vec![("red".to_string(), 400), ("blue".to_string(), 400)];
+    let program = env!("CARGO_BIN_EXE_pearford").into();
+    let operator = "report_homes: true\n".to_string();
+    let plan = Plan { program, nodes: 3, teams, operator, write_rps: 200.0 };
+    let mut cluster = Cluster::start(plan).await.expect("the processes start");
+    let http: Http = Client::builder(TokioExecutor::new()).build_http();
+    for n in 0..JOBS {
+        let uri = format!("http://{}/submissions", cluster.api[n % 3]);
+        let began = Instant::now();
+        while ask(&http, uri.clone(), Some(service(n))).await.is_none_or(|(status, _)| status != 201) {
+            assert!(began.elapsed() < Duration::from_secs(30), "never accepted: {}", cluster.log(0));
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    settled(&cluster, "at first").await;
+    for kill in 0..KILLS {
+        for i in 0..3 {
+            cluster.kill_node(i).await.expect("killed");
+        }
+        if SILENCED_AT.contains(&kill) {
+            assert_eq!(cluster.cloud.silence(2), 2);
+        }
+        for i in 0..3 {
+            cluster.start_node(i).expect("starts again");
+        }
+        settled(&cluster, &format!("after kill {kill}")).await;
+    }
+    for n in 0..JOBS {
+        let uri = format!("http://{}/submissions/req-{n:06}", cluster.api[n % 3]);
+        let began = Instant::now();
+        loop {
+            match ask(&http, uri.clone(), None).await {
+                Some((200, body)) if body["phase"] == "running" => break,
+                Some((404, _)) => panic!("forgotten: req-{n:06}"),
+                got => assert!(began.elapsed() < Duration::from_secs(20), "req-{n:06}: {got:?}"),
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
