--- a/crates/nomad/src/door/tests/rolls.rs
+++ b/crates/nomad/src/door/tests/rolls.rs
@@ -81,14 +81,14 @@
         roll.play(60_000);
         let head = roll.head();
         // One machine in thirty never comes up; waited for, it holds a roll up beyond its deadline.
-        if roll.w.workers.iter().any(|w| !w.up) {
+        if head.ended == Some(Ended::Failed) && roll.w.workers.iter().any(|w| !w.up) {
             continue;
         }
         shown += 1;
         assert_eq!((head.version, head.roll, head.ended), (1, None, Some(Ended::Successful)), "seed {seed}");
         assert_eq!((roll.fewest, roll.up()), (4, 4), "seed {seed}");
     }
-    assert!(shown >= 5, "{shown} seeds show it");
+    assert!(shown >= 7, "{shown} seeds show it");
 }
 
 /// The team may hold 12: with 10 replicas two parts of 1 fit beside; with 12 one has to go first.
