--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -562,7 +562,9 @@
     /// Unheard machines are given up at once.
     pub(super) fn sabotage_unheard(&mut self) {
         self.machines.values_mut().filter(|m| !m.heard()).for_each(|m| m.unanswered = 9);
-        self.gathering.records_read(self.since);
+        let workers = &self.settings.workers;
+        self.gathering = Gathering::new(Span::secs(workers.report_s), Span::secs(workers.lease_s));
+        self.gathering.records_read(Time::default());
         self.gathering.heard(1, 1, self.since);
     }
 
