The cost of looks and plans is taken where each step begins, not in the leader's pump

Rentals are planned in a tick, before the same step's pump: that took the cost of the step before for theirs, so their pace followed something else. After a step that only follows a feature's records the same befell a look. The step's cost goes to the leader's part as the next step begins, and is no state of the node or of its context any more.

--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -45,7 +45,6 @@
     rng: StdRng,
     now: Time,
     wall: Wall,
-    took: Span,
     out: Outbox,
     mirror: Mirror,
     follower: Follower,
@@ -90,7 +89,6 @@
             rng: StdRng::seed_from_u64(seed),
             now: Time::default(),
             wall: Wall(0),
-            took: Span::default(),
             out: Outbox::new(settings.node.clone()),
             mirror: Mirror::default(),
             follower: Follower::new(Whose::Jobs, jobs::PREFIX, read_pause(&settings)),
@@ -126,7 +124,9 @@
     pub fn step(&mut self, now: Now, input: Input) -> Vec<Effect> {
         self.now = now.steady;
         self.wall = now.wall;
-        self.took = now.took;
+        if let Some(master) = &mut self.master {
+            master.took(now.took, self.now);
+        }
         if !self.started {
             self.started = true;
             self.started_at = self.now;
@@ -169,7 +169,6 @@
         let master = self.master.as_mut()?;
         let ctx = Ctx {
             now: self.now,
-            took: self.took,
             valid: self.seat.valid(self.now),
             holds: self.seat.leads(),
             fresh_at: self.follower.fresh_at(),
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -63,8 +63,6 @@
 /// What the leader's part may use of its node in a step.
 pub(super) struct Ctx<'a> {
     pub now: Time,
-    /// How long the step before this one took.
-    pub took: Span,
     /// The tenure is valid: orders, commits and rentals may leave.
     pub valid: bool,
     /// The node holds the lead as far as it knows, validly or only holding on.
@@ -411,6 +409,12 @@
         self.fence
     }
 
+    /// The step that is over took `cost`.
+    pub(in crate::node) fn took(&mut self, cost: Span, now: Time) {
+        self.looks.cost(cost, now);
+        self.plans.cost(cost, now);
+    }
+
     /// Jobs started and done under this leadership.
     pub(super) fn served(&self) -> &Served {
         &self.served
@@ -476,8 +480,6 @@
 
     /// After any input: writes what is new, then offers what waits.
     pub(super) fn pump(&mut self, ctx: &mut Ctx) {
-        self.looks.cost(ctx.took, ctx.now);
-        self.plans.cost(ctx.took, ctx.now);
         if !ctx.valid {
             return;
         }
