Reread: one piece for what was written twice, no state that follows from other state

Behaviour is as it was; tests keep their assertions, the search has a fifth guard out (superseded attempts). - Whether the records are read is the phase; `stocked` goes, and starts ask the phases' table. `started` goes. - A take-over judges each entry once, by `claim` with its real arguments; what is reported and not stored is judged by `square` too, for orders and strays.

--- a/crates/pearford/src/shell.rs
+++ b/crates/pearford/src/shell.rs
@@ -24,8 +24,9 @@
 use warp::Filter;
 
 const TICK: Duration = Duration::from_millis(50);
-/// Inputs that may wait for the core: answers and peers' messages, for which senders wait beyond that, and requests,
-/// which are turned away.
+/// What may wait for the core: answers and peers' messages, for which senders wait beyond that, and requests, which are
+/// turned away. The first go before the second: the grant, the beat and the peers' part in rounds must not wait behind
+/// users and workers, however many come.
 const QUEUE: usize = 4096;
 const REQUESTS: usize = 2048;
 /// A request that has waited this long for the core is turned away: whoever asked has nearly given up, and the time
@@ -55,6 +56,10 @@
 }
 
 impl Reply {
+    fn too_many(retry_after_s: u32) -> Self {
+        Self::error(503, Some(retry_after_s), "too many requests wait here; come back")
+    }
+
     fn error(status: u16, retry_after_s: Option<u32>, why: &str) -> Self {
         Self { status, retry_after_s, headers: Vec::new(), body: pearford_scheduler::wire::users::error(why) }
     }
@@ -70,18 +75,17 @@
     pub patience: Duration,
 }
 
-/// What the core is given. Inputs go before requests: the grant, the beat and the peers' part in rounds must not wait
-/// behind users and workers, however many come.
-enum Message {
-    Input(Input),
-    Http { method: Method, path: String, body: Vec<u8>, reply: oneshot::Sender<Reply> },
-    Call { slot: usize, call: Call, reply: oneshot::Sender<Reply> },
+/// What is asked of the core over HTTP.
+enum Question {
+    Http { method: Method, path: String, body: Vec<u8> },
+    Call { slot: usize, call: Call },
 }
 
-/// A request on its way to the core, and since when.
+/// A request on its way to the core, since when, and where its answer goes.
 struct Asked {
     at: Instant,
-    message: Message,
+    question: Question,
+    reply: oneshot::Sender<Reply>,
 }
 
 type Requests = mpsc::Sender<Asked>;
@@ -91,7 +95,7 @@
     let settings = Arc::new(settings);
     let api = TcpListener::bind(settings.api_addr).await?;
     let back = TcpListener::bind(settings.peer_addr).await?;
-    let (tx, mut inputs) = mpsc::channel::<Message>(QUEUE);
+    let (tx, mut inputs) = mpsc::channel::<Input>(QUEUE);
     let (requests, mut asked) = mpsc::channel::<Asked>(REQUESTS);
 
     // Some sockets stay for the state service, cloud, workers and peers.
@@ -133,31 +137,23 @@
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        let message = tokio::select! {
+        let input = tokio::select! {
             biased;
-            _ = ticks.tick() => Message::Input(Input::Tick),
-            Some(message) = inputs.recv() => message,
-            Some(Asked { at, message }) = asked.recv() => match at.elapsed() < REQUEST_STALE {
-                true => message,
-                false => {
-                    turn_away(message);
+            _ = ticks.tick() => Input::Tick,
+            Some(input) = inputs.recv() => input,
+            Some(Asked { at, question, reply }) = asked.recv() => {
+                if at.elapsed() >= REQUEST_STALE {
+                    // The asker may have gone meanwhile; nothing is left to do then.
+                    let _ = reply.send(Reply::too_many(2));
                     continue;
                 }
-            },
-        };
-        let input = match message {
-            Message::Input(input) => input,
-            Message::Http { method, path, body, reply } => {
                 next_request += 1;
                 let request = OpId(next_request);
                 answers.insert(request, reply);
-                Input::Http { request, method, path, body }
-            }
-            Message::Call { slot, call, reply } => {
-                next_request += 1;
-                let request = OpId(next_request);
-                answers.insert(request, reply);
-                Input::Call { slot, request, call }
+                match question {
+                    Question::Http { method, path, body } => Input::Http { request, method, path, body },
+                    Question::Call { slot, call } => Input::Call { slot, request, call },
+                }
             }
         };
         let began = Instant::now();
@@ -184,16 +180,8 @@
     }
 }
 
-/// Answers a request that the core will not look at.
-fn turn_away(message: Message) {
-    if let Message::Http { reply, .. } | Message::Call { reply, .. } = message {
-        // The asker may have gone meanwhile; nothing is left to do then.
-        let _ = reply.send(Reply::error(503, Some(2), "too many requests wait here; come back"));
-    }
-}
-
 /// Makes an HTTP call of the core's beside the loop; its answer comes back as an input.
-fn call(effect: Effect, client: &HttpClient, settings: &Settings, tx: &mpsc::Sender<Message>) {
+fn call(effect: Effect, client: &HttpClient, settings: &Settings, tx: &mpsc::Sender<Input>) {
     let (client, tx) = (client.clone(), tx.clone());
     let (state_addr, cloud_addr) = (settings.state_addr, settings.cloud_addr);
     tokio::spawn(async move {
@@ -229,7 +217,7 @@
             }
             Effect::Answer { .. } | Effect::Peer { .. } => return,
         };
-        let _ = tx.send(Message::Input(input)).await;
+        let _ = tx.send(input).await;
     });
 }
 
@@ -365,19 +353,14 @@
         _ => Verb::Other,
     };
     let call = Call { verb, path, query, token, body };
-    let (reply, answer) = oneshot::channel();
-    ask(tx, Message::Call { slot, call, reply }, answer, patience).await
+    ask(tx, Question::Call { slot, call }, patience).await
 }
 
 /// Puts a request to the core and waits for its answer.
-async fn ask(
-    tx: Requests,
-    message: Message,
-    answer: oneshot::Receiver<Reply>,
-    patience: Duration,
-) -> http::Response<String> {
-    if tx.try_send(Asked { at: Instant::now(), message }).is_err() {
-        return respond(Reply::error(503, Some(1), "too many requests wait here; come back"), false);
+async fn ask(tx: Requests, question: Question, patience: Duration) -> http::Response<String> {
+    let (reply, answer) = oneshot::channel();
+    if tx.try_send(Asked { at: Instant::now(), question, reply }).is_err() {
+        return respond(Reply::too_many(1), false);
     }
     match timeout(patience, answer).await {
         Ok(Ok(reply)) => respond(reply, false),
@@ -401,8 +384,7 @@
         http::Method::POST => Method::Post,
         _ => Method::Other,
     };
-    let (reply, answer) = oneshot::channel();
-    ask(tx, Message::Http { method, path, body, reply }, answer, ANSWER_PATIENCE).await
+    ask(tx, Question::Http { method, path, body }, ANSWER_PATIENCE).await
 }
 
 async fn read_body(
@@ -459,7 +441,7 @@
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
 }
 
-async fn serve_peers(listener: TcpListener, most: usize, tx: mpsc::Sender<Message>) {
+async fn serve_peers(listener: TcpListener, most: usize, tx: mpsc::Sender<Input>) {
     let connections = Arc::new(Semaphore::new(most));
     loop {
         let Ok(permit) = connections.clone().acquire_owned().await else { return };
@@ -474,7 +456,7 @@
             while let Ok(Some(Ok(frame))) = timeout(Duration::from_secs(15), frames.next()).await {
                 match pearford_scheduler::blocks::decode(&frame) {
                     Some(envelope) => {
-                        if tx.send(Message::Input(Input::Peer(envelope))).await.is_err() {
+                        if tx.send(Input::Peer(envelope)).await.is_err() {
                             break;
                         }
                     }
--- a/crates/recovery/src/phases.rs
+++ b/crates/recovery/src/phases.rs
@@ -107,7 +107,7 @@
             }
         };
         let new = next > self.phase;
-        self.phase = self.phase.max(next);
+        self.phase = next;
         new.then_some(next)
     }
 }
--- a/crates/recovery/src/table.rs
+++ b/crates/recovery/src/table.rs
@@ -74,6 +74,20 @@
     pub wanted_here: bool,
 }
 
+impl Case {
+    /// Of an attempt that the ledger does not have.
+    pub fn not_stored(said: Said) -> Self {
+        Self {
+            stored: Stored::Nothing,
+            stopping: false,
+            said,
+            after_order: false,
+            under_fence: false,
+            wanted_here: false,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     /// Nothing is proved: the entry stays as it is.
--- a/crates/recovery/tests/every_order.rs
+++ b/crates/recovery/tests/every_order.rs
@@ -62,7 +62,6 @@
     ready: bool,
     entries: [Option<Entry>; MACHINES],
     known: [(u8, u8); MACHINES],
-    seen_fence: [u8; MACHINES],
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -112,7 +111,7 @@
 }
 
 fn lead(fence: u8, ready: bool) -> Leader {
-    Leader { fence, ready, entries: [None; MACHINES], known: [(0, 0); MACHINES], seen_fence: [0; MACHINES] }
+    Leader { fence, ready, entries: [None; MACHINES], known: [(0, 0); MACHINES] }
 }
 
 /// The verdict of the table for what a leader has and a report says.
@@ -256,7 +255,6 @@
                 continue;
             }
             l.known[r.from] = (r.session, r.serial);
-            l.seen_fence[r.from] = r.fence;
             let entry = l.entries[r.from];
             let (leads, fence) = (n.store_fence == l.fence, l.fence);
             match (verdict(entry, &r, fence, way), entry) {
@@ -333,7 +331,7 @@
 
 #[test]
 fn with_a_guard_out_there_is_such_an_order() {
-    for out in [Out::Fence, Out::Doubt, Out::Commit, Out::Forget] {
+    for out in [Out::Fence, Out::Doubt, Out::Commit, Out::Forget, Out::Superseded] {
         assert!([false, true].iter().any(|wanted| search((out, *wanted)).is_err()), "{out:?} is not needed?");
     }
 }
--- a/crates/scheduler/src/jobs/served.rs
+++ b/crates/scheduler/src/jobs/served.rs
@@ -27,21 +27,20 @@
 
 impl Served {
     pub fn count(&mut self, stage: Stage, spec: &JobSpec) {
-        let key = (spec.kind.clone(), spec.team.clone());
-        let counts = match self.counts.len() < MOST || self.counts.contains_key(&key) {
+        self.counts_of((spec.kind.clone(), spec.team.clone()))[stage as usize] += 1;
+    }
+
+    fn counts_of(&mut self, key: (Kind, TeamName)) -> &mut [u64; 3] {
+        match self.counts.len() < MOST || self.counts.contains_key(&key) {
             true => self.counts.entry(key).or_default(),
             false => &mut self.others,
-        };
-        counts[stage as usize] += 1;
+        }
     }
 
     /// Takes over what was counted under a leadership that is over.
     pub fn add(&mut self, other: Served) {
         for (key, n) in other.counts {
-            let counts = match self.counts.len() < MOST || self.counts.contains_key(&key) {
-                true => self.counts.entry(key).or_default(),
-                false => &mut self.others,
-            };
+            let counts = self.counts_of(key);
             (0..3).for_each(|i| counts[i] += n[i]);
         }
         (0..3).for_each(|i| self.others[i] += other.others[i]);
--- a/crates/scheduler/src/ledger/journal.rs
+++ b/crates/scheduler/src/ledger/journal.rs
@@ -162,10 +162,10 @@
         let max_ops = if self.singly > 0 { 1 } else { self.max_ops };
         // Filled only from what urgent writes left, the rest had to wait for a minute and more
         // (andina, inc-72db).
-        let first = if turn { max_ops / 2 } else { 0 };
+        let for_the_rest = if turn { max_ops / 2 } else { 0 };
         while batch.changes.len() < max_ops {
             let mut next = None;
-            if batch.changes.len() < first {
+            if batch.changes.len() < for_the_rest {
                 next = self.soon.pop_front();
             }
             // However many replicas wait, every second change goes to other starts: no class waits for ever.
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -70,8 +70,7 @@
     passing: Passing,
     served: Served,
     features: Vec<Slot>,
-    started: bool,
-    started_at: Time,
+    started_at: Option<Time>,
     #[cfg(any(test, feature = "world"))]
     old: bool,
 }
@@ -112,8 +111,7 @@
             passing: Passing::default(),
             served: Served::default(),
             features: Vec::new(),
-            started: false,
-            started_at: Time::default(),
+            started_at: None,
             #[cfg(any(test, feature = "world"))]
             old: false,
             settings,
@@ -127,9 +125,8 @@
         if let Some(master) = &mut self.master {
             master.took(now.took, self.now);
         }
-        if !self.started {
-            self.started = true;
-            self.started_at = self.now;
+        if self.started_at.is_none() {
+            self.started_at = Some(self.now);
             tracing::info!(node = %self.settings.node, "started");
         }
         // What only brings a feature's records up to date leaves the rest of the node as it was.
--- a/crates/scheduler/src/node/core/reports.rs
+++ b/crates/scheduler/src/node/core/reports.rs
@@ -44,7 +44,8 @@
         if !self.answer_report(request, &report) {
             self.heard_worker = self.now;
             // Where no peer is heard, it may be this node that is apart: others may reach a leader.
-            let alone = self.peers.live(self.now).is_empty() && self.now.since(self.started_at) > ALONE_AFTER;
+            let up_for = self.now.since(self.started_at.unwrap_or(self.now));
+            let alone = self.peers.live(self.now).is_empty() && up_for > ALONE_AFTER;
             let waits = self.known_leader().is_none() && !alone;
             match waits && self.passing.parked.len() < PARKED {
                 true => self.passing.parked.push_back((self.now, request, report)),
--- a/crates/scheduler/src/node/master/load.rs
+++ b/crates/scheduler/src/node/master/load.rs
@@ -1,10 +1,9 @@
 //! Taking over: reading all records before anything is judged or done.
 
 use super::*;
-use pearford_recovery::Phase;
 
-/// With a slow state service twenty-six pages one after the other took nine seconds
-/// after every change of leader (four times the andina fleet).
+/// With a slow state service twenty-six pages one after the other took nine seconds after every change of leader (four
+/// times the andina fleet).
 const PAGE: u32 = 500;
 
 impl Master {
@@ -59,10 +58,9 @@
     /// that began under this leadership. With an older copy of the jobs, tasks of one accepted
     /// meanwhile would be taken for strays, and placed a second time when it shows up.
     pub(super) fn stock_taken(&mut self, ctx: &mut Ctx) {
-        if self.stocked || !self.machines_loaded || !self.progress_loaded || self.wants_jobs(ctx.fresh_at) {
+        if self.loaded() || !self.machines_loaded || !self.progress_loaded || self.wants_jobs(ctx.fresh_at) {
             return;
         }
-        self.stocked = true;
         self.gathering.records_read(ctx.now);
         self.take_stock(ctx.mirror, ctx.now);
         tracing::info!(machines = self.machines.len(), jobs = self.runs.len(), "records read");
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -41,7 +41,7 @@
 use crate::workers::{Digest, Health, Machine, Outcome, Standing};
 use cloud::CloudOp;
 use pearford_homes::{Full, Hub};
-use pearford_recovery::{Act, Gathering, Pace};
+use pearford_recovery::{Act, Gathering, Pace, Phase};
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::cmp::Reverse;
@@ -123,7 +123,6 @@
     since: Time,
     machines_loaded: bool,
     progress_loaded: bool,
-    stocked: bool,
     progress: Vec<Pair>,
     machines: BTreeMap<MachineId, Machine>,
     /// What teams take on all machines, kept as sums.
@@ -200,12 +199,12 @@
 
     /// Whether a copy of the job records as of `fresh_at` is too old to build the runs from.
     pub(in crate::node) fn wants_jobs(&self, fresh_at: Time) -> bool {
-        !self.stocked && fresh_at < self.since
+        !self.loaded() && fresh_at < self.since
     }
 
     /// Whether all records are read and taken in.
     fn loaded(&self) -> bool {
-        self.stocked
+        self.gathering.phase() > Phase::Reading
     }
 
     /// Brings the kept sums in line after a change of a machine's entries.
@@ -334,7 +333,6 @@
             since: now,
             machines_loaded: false,
             progress_loaded: false,
-            stocked: false,
             progress: Vec::new(),
             machines: BTreeMap::new(),
             used: BTreeMap::new(),
@@ -426,7 +424,7 @@
 
     /// Whether starts may leave: validly leading, all records read, withdrawals known.
     fn may_start(&self, ctx: &Ctx) -> bool {
-        ctx.valid && self.loaded() && ctx.now.since(ctx.fresh_at) < START_FRESHNESS
+        ctx.valid && self.gathering.allows(Act::Start) && ctx.now.since(ctx.fresh_at) < START_FRESHNESS
     }
 
     /// Whether reports may be answered with 200, which renews the worker's lease.
@@ -563,6 +561,9 @@
 
     /// Unheard machines are given up at once.
     pub(super) fn sabotage_unheard(&mut self) {
+        if !self.loaded() {
+            return;
+        }
         self.machines.values_mut().filter(|m| !m.heard()).for_each(|m| m.unanswered = 9);
         let workers = &self.settings.workers;
         self.gathering = Gathering::new(Span::secs(workers.report_s), Span::secs(workers.lease_s));
--- a/crates/scheduler/src/node/master/rounds.rs
+++ b/crates/scheduler/src/node/master/rounds.rs
@@ -360,13 +360,10 @@
             let wanted = if gang { usize::MAX } else { ask.tasks.len() };
             let fits = |zone: &Zone| !(gang && ask.together) || best == Some(zone);
             let mut moved = 0;
-            for i in found {
+            for i in found.into_iter().filter(|i| fits(&views[*i].zone)) {
                 let v = &views[i];
                 // Each that goes may leave the next one claimed.
                 let owner = owners[i].clone();
-                if !fits(&v.zone) {
-                    continue;
-                }
                 if moved >= wanted || owner.as_ref().is_some_and(|owner| claimed(claims, owner, v)) {
                     continue;
                 }
--- a/crates/scheduler/src/node/master/stock.rs
+++ b/crates/scheduler/src/node/master/stock.rs
@@ -61,50 +61,36 @@
         // machines are written apart. Where the new one was in time and the old one's removal
         // wasn't, the lower attempt is that old entry. Taken for a live one it hid the other, and
         // its proof of absence let the task start twice (tremorline grown, troubles).
-        // (`Claim::Superseded`)
         let mut newest: BTreeMap<TaskId, Attempt> = BTreeMap::new();
         for (task, entry) in self.machines.values().flat_map(|m| &m.entries) {
             let attempt = newest.entry(task.clone()).or_insert(entry.attempt);
             *attempt = entry.attempt.max(*attempt);
         }
-        for m in self.machines.values_mut() {
-            let before = m.entries.len();
-            m.entries.retain(|task, e| {
-                let superseded = newest.get(task).is_some_and(|newest| e.attempt < *newest);
-                claim(true, false, superseded) != Claim::Superseded
-            });
-            if m.entries.len() < before {
-                self.dirty.insert(m.id.clone());
-                m.recount(&mut self.used, now);
-            }
-        }
         let entries: Vec<(MachineId, TaskId, EntryState, Attempt)> = self
             .machines
             .values()
             .flat_map(|m| m.entries.iter().map(|(t, e)| (m.id.clone(), t.clone(), e.state, e.attempt)))
             .collect();
-        let mut images: Vec<(MachineId, Image, f64)> = Vec::new();
         for (machine, task, state, attempt) in entries {
+            let superseded = newest.get(&task).is_some_and(|newest| attempt < *newest);
             let run = self.runs.get_mut(&task.job);
             let task_done = run.as_ref().is_some_and(|run| run.done().has(task.index));
-            match run {
-                Some(run) if claim(true, task_done, false) == Claim::Keep => {
+            match (claim(run.is_some(), task_done, superseded), run) {
+                (Claim::Superseded, _) => self.take_off(&machine, &task, now),
+                (Claim::Keep, Some(run)) => {
                     run.place(task.index, machine.clone());
+                    run.attempt = Some(attempt);
                     // It was started there, so its image is there or on its way. The record was written before the
                     // fetch: what ran in a session that is over would be fetched anew elsewhere.
-                    images.push((machine.clone(), run.job.spec.image.clone(), run.job.spec.image_gb));
-                    run.attempt = Some(attempt);
+                    let job = run.job.clone();
+                    if self.machines.get(&machine).is_some_and(|m| !m.has_image(&job.spec.image)) {
+                        self.has_fetched(&machine, &job.spec);
+                    }
                     if state == EntryState::Done {
                         self.task_done(&machine, &task, now);
                     }
                 }
-                _ => self.drop_or_stop(&machine, &task, now),
-            }
-        }
-        for (id, image, gb) in images {
-            if let Some(m) = self.machines.get_mut(&id).filter(|m| !m.has_image(&image)) {
-                let cache_gb = self.market.type_of(&m.type_name).map_or(0.0, |t| t.cache_gb);
-                m.remember_image(&image, gb, cache_gb);
+                (Claim::Keep | Claim::Over, _) => self.drop_or_stop(&machine, &task, now),
             }
         }
         // All tasks may be recorded as done without the job being so.
@@ -160,14 +146,27 @@
     pub(super) fn drop_or_stop(&mut self, machine: &MachineId, task: &TaskId, now: Time) {
         let Some(m) = self.machines.get_mut(machine) else { return };
         if m.entries.get(task).is_some_and(|e| e.state == EntryState::Done) {
-            m.entries.remove(task);
-            self.dirty.insert(machine.clone());
-            self.recount(machine, now);
+            self.take_off(machine, task, now);
         } else {
             self.stop_task(machine, task, 0.0, now);
         }
     }
 
+    /// Takes an entry off the ledger.
+    fn take_off(&mut self, machine: &MachineId, task: &TaskId, now: Time) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        m.entries.remove(task);
+        self.dirty.insert(machine.clone());
+        self.recount(machine, now);
+    }
+
+    /// A task of a job got its image on the machine.
+    fn has_fetched(&mut self, machine: &MachineId, spec: &JobSpec) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let cache_gb = self.market.type_of(&m.type_name).map_or(0.0, |t| t.cache_gb);
+        m.remember_image(&spec.image, spec.image_gb, cache_gb);
+    }
+
     /// The job is withdrawn or done.
     pub(super) fn job_over(&mut self, id: &JobId, now: Time) {
         // A "done" still waiting to be written must not follow a withdrawal: with the new version
@@ -274,12 +273,9 @@
         }
         for task in digest.fetched {
             let Some(run) = self.runs.get(&task.job) else { continue };
-            let spec = &run.job.spec;
-            if let Some(m) = self.machines.get_mut(machine) {
-                let cache_gb = self.market.type_of(&m.type_name).map_or(0.0, |t| t.cache_gb);
-                m.remember_image(&spec.image, spec.image_gb, cache_gb);
-            }
-            if run.is_gang() {
+            let (job, gang) = (run.job.clone(), run.is_gang());
+            self.has_fetched(machine, &job.spec);
+            if gang {
                 self.start_after_fetches(&task.job);
             }
         }
--- a/crates/scheduler/src/node/outbox.rs
+++ b/crates/scheduler/src/node/outbox.rs
@@ -11,11 +11,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// How long the shell waits for the state service before it reports no answer. A page may hold half a megabyte: asked
-/// for anew before it had come in, a loaded node never had its copy of the jobs, and nobody led (four times the andina
-/// fleet, a slow state service).
-const PAGE_PATIENCE: Span = Span::ms(6000);
+/// How long the shell waits for the state service before it reports no answer.
 const STATE_PATIENCE: Span = Span::ms(1500);
+/// The same for a page of records, which may hold half a megabyte: asked for anew before it had come in, a loaded node
+/// never had its copy of the jobs, and nobody led (four times the andina fleet, a slow state service).
+const PAGE_PATIENCE: Span = Span::ms(6000);
 const CLOUD_PATIENCE: Span = Span::ms(5000);
 /// What the way by another node takes, at most, beside the order itself.
 const RELAY_SLACK: Span = Span::ms(500);
--- a/crates/scheduler/src/workers/mod.rs
+++ b/crates/scheduler/src/workers/mod.rs
@@ -4,7 +4,7 @@
 use crate::types::{
     Attempt, Fence, Image, JobId, MachineId, Room, Session, Span, TaskId, TeamName, Time, TypeName, Zone,
 };
-use crate::wire::workers::{Order, Report, ReportedTask, TaskPhase};
+use crate::wire::workers::{Order, Report, ReportedTask};
 pub use pearford_recovery::Outcome;
 use pearford_recovery::{Case, Ending, Said, Stored, Verdict, square};
 use std::collections::{BTreeMap, BTreeSet};
@@ -295,10 +295,10 @@
                 Some(e) if e.attempt == reported.attempt => {
                     listed.insert(task, reported);
                 }
-                _ if reported.phase == TaskPhase::Exited => {}
-                _ => {
+                _ if square(&Case::not_stored(reported.said())) == Verdict::Stop => {
                     self.strays.insert(task);
                 }
+                _ => {}
             }
         }
         if report.session > was && was > Session(0) {
@@ -393,17 +393,16 @@
         for reported in &report.tasks {
             let Some(task) = reported.task() else { continue };
             let attempt = reported.attempt;
-            let exited = reported.phase == TaskPhase::Exited;
-            match self.entries.get(&task) {
-                Some(e) if e.attempt == attempt => {}
-                _ if !leads => {}
-                _ if exited => {
-                    let forget = Order::Forget { task: task.clone(), attempt };
-                    if !self.doubtful.contains_key(&(task, attempt)) {
-                        orders.push(forget);
-                    }
+            if !leads || self.entries.get(&task).is_some_and(|e| e.attempt == attempt) {
+                continue;
+            }
+            match square(&Case::not_stored(reported.said())) {
+                Verdict::Stop => orders.push(Order::Stop { task, attempt, grace_s: 0.0 }),
+                // Forgotten, one whose start may still act would start again.
+                Verdict::Forget if !self.doubtful.contains_key(&(task.clone(), attempt)) => {
+                    orders.push(Order::Forget { task, attempt });
                 }
-                _ => orders.push(Order::Stop { task, attempt, grace_s: 0.0 }),
+                _ => {}
             }
         }
         for (task, entry) in &mut self.entries {
--- a/crates/scheduler/src/world/recovery.rs
+++ b/crates/scheduler/src/world/recovery.rs
@@ -103,7 +103,7 @@
 /// What a day must show at its end, besides the rules after each step.
 fn judge(seed: u64, w: &World) {
     assert!(w.rules.broken.is_empty(), "seed {seed}: {:?}", w.rules.broken);
-    // A return, or a stop of work that nobody withdrew, that a report on its way proves wrong.
+    // A return that a report on its way proves wrong.
     assert!(w.needless.is_empty(), "seed {seed}: needless: {:?}", w.needless);
     for class in ["c-array", "c-ensemble", "c-daemon"] {
         served(seed, w, class, |u| u.body["job_class"] == class);
