Where a start may still arrive, a lease is not renewed without the state service

Cause: a direct start that was held up for longer than cancel_s reached a session that other nodes had kept alive while the state service was away: its job had been cancelled all that time, and the leader, without its tenure, could not return the machine. Change: one piece decides until when leases are renewed (homes::Renewal). Each delegation goes with a word of where the leader has starts in doubt; without a young look of its own a node renews nothing there, nor beyond what that word covers; a machine returned for a doubt is not renewed at all, and is returned after half the hold at most. Level 3: from then on a leader that has told nothing is one that was not heard. Versions before drop the word unread.

--- /dev/null
+++ b/crates/homes/src/renewal.rs
@@ -0,0 +1,201 @@
+//! Until when a node may renew workers' leases: the bound behind every 200 that answers a report.
+//!
+//! A cancelled job's tasks must be gone within `cancel_s`, and the only end that needs nobody is a lease's. So a lease
+//! is renewed only as long as it ends in time for every cancellation that this node can't know of, and for every start
+//! that may still arrive of a job whose cancellation it does know of. The argument is in the design ("Outages").
+
+use pearford_types::{Fence, MachineId, Span, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// How old a leader's look at the job records may be for starts to leave; a node with a look as young has not lost the
+/// state service.
+pub const FRESH: Span = Span::ms(5_000);
+/// Machines that are named in one message; if there are more, none counts as free of doubt.
+const NAMED: usize = 256;
+
+/// From the leader, with each delegation: where starts may still arrive that it can neither call back nor disprove.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubt {
+    pub fence: Fence,
+    /// Of the delegation that it goes with.
+    pub beat: u64,
+    /// Machines to which a start is on its way, or has been sent without an answer in their present session; `None`:
+    /// too many to be named.
+    pub machines: Option<Vec<MachineId>>,
+    /// Those of them that are being returned for it: their sessions are to end.
+    pub never: Vec<MachineId>,
+}
+
+impl Doubt {
+    pub fn new(fence: Fence, beat: u64, machines: Vec<MachineId>, never: Vec<MachineId>) -> Self {
+        let machines = (machines.len() <= NAMED).then_some(machines);
+        Self { fence, beat, machines, never }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Told {
+    fence: Fence,
+    beat: u64,
+    at: Time,
+    machines: Option<BTreeSet<MachineId>>,
+    never: BTreeSet<MachineId>,
+}
+
+/// Guards that tests take out, to prove that what checks them can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Without {
+    /// The margin for drift and for what is under way.
+    Margin(Span),
+    /// A look counts from when it was begun, not from its answer.
+    Beginning,
+    /// A node that has not looked yet renews nothing.
+    FirstLook,
+    /// Where a start may still arrive, nothing is renewed without the state service.
+    Doubt,
+}
+
+/// One node's part.
+#[derive(Debug, Clone)]
+pub struct Renewal {
+    /// `cancel_s` less the lease and a margin.
+    hold: Span,
+    /// Beginning of the newest look at the job records that was answered.
+    look: Option<Time>,
+    told: Option<Told>,
+    out: Option<Without>,
+}
+
+impl Renewal {
+    pub fn new(hold: Span) -> Self {
+        Self { hold, look: None, told: None, out: None }
+    }
+
+    /// Takes a guard out, for tests.
+    pub fn take_out(&mut self, without: Without) {
+        self.out = Some(without);
+    }
+
+    /// A look at the job records that began at `began` has brought the copy up to date. Only one that the state service
+    /// carried out after `began`: what it answers is as of then or later.
+    pub fn looked(&mut self, began: Time, now: Time) {
+        let from = if self.out == Some(Without::Beginning) { now } else { began };
+        self.look = self.look.max(Some(from));
+    }
+
+    /// The leader tells where it has starts in doubt. An older word, however late, changes nothing.
+    pub fn told(&mut self, doubt: Doubt, now: Time) {
+        let Doubt { fence, beat, machines, never } = doubt;
+        if self.told.as_ref().is_some_and(|t| (fence, beat) <= (t.fence, t.beat)) {
+            return;
+        }
+        let machines = machines.map(|m| m.into_iter().collect());
+        let never = never.into_iter().collect();
+        self.told = Some(Told { fence, beat, at: now, machines, never });
+    }
+
+    /// Whether this node's look is so young that it has not lost the state service: whoever leads can still return a
+    /// machine where a start is in doubt.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.look.is_some_and(|look| now.since(look) < FRESH)
+    }
+
+    fn within(&self, from: Time, now: Time) -> bool {
+        let more = match self.out {
+            Some(Without::Margin(margin)) => margin,
+            _ => Span::ms(0),
+        };
+        now.since(from) < Span::ms(self.hold.0 + more.0)
+    }
+
+    /// Whether it may renew leases at all.
+    pub fn allows(&self, now: Time) -> bool {
+        match self.look {
+            Some(look) => self.within(look, now),
+            None => self.out == Some(Without::FirstLook),
+        }
+    }
+
+    /// Whether the leader, in its tenure or holding on, may renew a machine's lease. `doubtful`: a start of its own may
+    /// still arrive there.
+    pub fn by_leader(&self, doubtful: bool, now: Time) -> bool {
+        self.allows(now) && (self.is_fresh(now) || !doubtful || self.out == Some(Without::Doubt))
+    }
+
+    /// Whether this node may renew a machine's lease in the name of the leader with `fence`. `tells`: every version
+    /// that may lead tells its doubts, so that a leader which has told none is one that this node has not heard.
+    pub fn by_delegate(&self, machine: &MachineId, fence: Fence, tells: bool, now: Time) -> bool {
+        if !self.allows(now) {
+            return false;
+        }
+        let told = self.told.as_ref().filter(|t| t.fence == fence);
+        if self.out == Some(Without::Doubt) {
+            return true;
+        }
+        match told {
+            Some(told) if told.never.contains(machine) => false,
+            _ if self.is_fresh(now) => true,
+            // What was sent after the leader's last word was not cancelled `FRESH` before that.
+            Some(told) => {
+                let clear = told.machines.as_ref().is_some_and(|m| !m.contains(machine));
+                clear && self.within(told.at.before(FRESH), now)
+            }
+            None => !tells,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const T: fn(u64) -> Time = Time::from_ms;
+    const F: Fence = Fence(7);
+
+    fn held() -> Renewal {
+        let mut r = Renewal::new(Span::ms(26_000));
+        r.looked(T(1_000_000), T(1_001_500));
+        r
+    }
+
+    #[test]
+    fn a_look_counts_from_its_beginning_and_none_counts_for_nothing() {
+        let mut r = Renewal::new(Span::ms(26_000));
+        assert!(!r.allows(T(1_000)) && !r.by_leader(false, T(1_000)), "just started");
+        r.looked(T(2_000), T(9_000));
+        r.looked(T(1_000), T(9_500));
+        assert!(r.allows(T(27_999)) && !r.allows(T(28_000)));
+    }
+
+    /// A start was held up for longer than `cancel_s` and reached a session that other nodes had kept alive without the
+    /// state service: its job had been cancelled all that time (13 of 300 seeds).
+    #[test]
+    fn where_a_start_may_arrive_leases_end_with_the_state_service() {
+        let (mut r, m) = (held(), MachineId::from("m-1"));
+        r.told(Doubt::new(F, 3, vec![m.clone()], Vec::new()), T(1_000_500));
+        assert!(r.by_delegate(&m, F, true, T(1_004_999)) && r.by_leader(true, T(1_004_999)));
+        assert!(!r.by_delegate(&m, F, true, T(1_005_000)) && !r.by_leader(true, T(1_005_000)));
+        assert!(r.by_leader(false, T(1_025_999)), "others live on");
+        let other = MachineId::from("m-2");
+        assert!(r.by_delegate(&other, F, true, T(1_021_000)));
+        // Later starts may have left, up to the leader's last word and `FRESH` before it.
+        assert!(!r.by_delegate(&other, F, true, T(1_021_500)));
+        // A word from before changes nothing, a leader that has told nothing is not trusted, unless it can't tell.
+        r.told(Doubt::new(F, 2, Vec::new(), Vec::new()), T(1_006_000));
+        assert!(!r.by_delegate(&m, F, true, T(1_007_000)));
+        assert!(!r.by_delegate(&other, Fence(8), true, T(1_007_000)));
+        assert!(r.by_delegate(&other, Fence(8), false, T(1_007_000)));
+    }
+
+    #[test]
+    fn a_machine_that_is_returned_for_a_doubt_is_not_renewed_and_too_many_doubts_are_doubts_of_all() {
+        let (mut r, m) = (held(), MachineId::from("m-1"));
+        r.told(Doubt::new(F, 1, vec![m.clone()], vec![m.clone()]), T(1_000_500));
+        assert!(!r.by_delegate(&m, F, true, T(1_001_000)));
+        let many = (0..300).map(|i| format!("m-{i}").as_str().into()).collect();
+        r.told(Doubt::new(F, 2, many, Vec::new()), T(1_001_000));
+        assert!(r.by_delegate(&m, F, true, T(1_002_000)));
+        assert!(!r.by_delegate(&"m-900".into(), F, true, T(1_006_000)));
+    }
+}
--- a/crates/scheduler/src/blocks/mod.rs
+++ b/crates/scheduler/src/blocks/mod.rs
@@ -4,7 +4,7 @@
 use crate::placement::{Counts, Learned, MachineView, Proposal, TaskAsk};
 use crate::types::{Fence, JobId, MachineId, NodeName, Span, Time, Zone};
 use crate::wire::workers::Order;
-use pearford_homes::{Delegation, Digest, Relayed, RelayedCall};
+use pearford_homes::{Delegation, Digest, Doubt, Relayed, RelayedCall};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -51,6 +51,9 @@
     Relayed { fence: Fence, calls: Vec<Relayed> },
     /// From the leader: orders to go out with the answers to the next reports.
     Errands { fence: Fence, orders: Vec<(MachineId, Vec<Order>)> },
+    /// From the leader, before each delegation: where its starts may still arrive. Versions before level `DOUBTS` drop
+    /// it unread, and hold on as they did.
+    Doubt(Doubt),
 }
 
 pub fn encode(from: &NodeName, message: PeerMessage) -> Vec<u8> {
--- a/crates/scheduler/src/compat/mod.rs
+++ b/crates/scheduler/src/compat/mod.rs
@@ -18,8 +18,10 @@
 pub const DEPENDENCIES: Level = 1;
 /// Reports are answered by every node, in the leader's name.
 pub const HOMES: Level = 2;
+/// Whoever leads tells where its starts are in doubt.
+pub const DOUBTS: Level = 3;
 /// What this version understands.
-pub const OURS: Level = HOMES;
+pub const OURS: Level = DOUBTS;
 
 const PREFIX: &str = "level/";
 const NODES: &str = "level/node/";
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -23,7 +23,7 @@
 use crate::wire::state::{Change, StateReply, StateRequest};
 use crate::wire::workers::{self, Report};
 use features::Slot;
-use pearford_homes::{Delegate, Stamped, Teller};
+use pearford_homes::{Delegate, Renewal, Stamped, Teller};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use reports::Passing;
@@ -67,6 +67,7 @@
     levels: Levels,
     master: Option<Master>,
     delegate: Delegate,
+    renewal: Renewal,
     passing: Passing,
     teller: Teller,
     served: Served,
@@ -109,6 +110,7 @@
             levels: Levels::new(settings.node.clone(), settings.peers.iter().map(|p| p.name.clone())),
             master: None,
             delegate: Delegate::new(settings.node.clone()),
+            renewal: Renewal::new(settings.workers.hold()),
             passing: Passing::default(),
             teller: Teller::default(),
             served: Served::default(),
@@ -171,6 +173,7 @@
             valid: self.seat.valid(self.now),
             holds: self.seat.leads(),
             fresh_at: self.follower.fresh_at(),
+            renewal: &self.renewal,
             homes: homes_on(&self.settings, self.levels.reached()),
             mirror: &mut self.mirror,
             counts: &mut self.counts,
@@ -331,6 +334,9 @@
                     &mut self.out,
                 );
                 if let ReadTurn::ReadEnds(fresh) = turn {
+                    if fresh {
+                        self.renewal.looked(self.follower.fresh_at(), self.now);
+                    }
                     self.read_ends(fresh);
                 }
             }
@@ -563,6 +569,10 @@
         self.mirror.skip_dependent = true;
     }
 
+    pub fn sabotage_renewal(&mut self, without: pearford_homes::Without) {
+        self.renewal.take_out(without);
+    }
+
     pub fn sabotage_level(&mut self) {
         self.levels.sabotage_reached();
     }
--- a/crates/scheduler/src/node/core/reports.rs
+++ b/crates/scheduler/src/node/core/reports.rs
@@ -2,6 +2,7 @@
 //! that are passed on for the leader.
 
 use super::*;
+use crate::compat;
 use crate::node::master::APART;
 use crate::types::MachineId;
 use crate::wire::workers::Order;
@@ -88,20 +89,12 @@
         }
     }
 
-    /// Whether this node's own last look at the job records allows it to renew leases: as for a leader, a
-    /// withdrawal that it can't see was told after that look.
-    fn look_allows(&self) -> bool {
-        let hold = self.settings.workers.hold();
-        self.mirror.epoch().is_some() && self.now.since(self.follower.fresh_at()) < hold
-    }
-
     /// Answers in the leader's name, or sends the worker where it belongs; false: this node has no delegation.
     fn report_to_delegate(&mut self, request: OpId, report: &Report) -> bool {
-        if self.seat.leads() || self.delegate.fence().is_none() {
-            return false;
-        }
-        let (top, may_renew) = (self.top_fence, self.look_allows());
+        let Some(fence) = self.delegate.fence().filter(|_| !self.seat.leads()) else { return false };
         let (machine, zone) = (&report.machine, &report.zone);
+        let tells = self.levels.reached() >= compat::DOUBTS;
+        let (top, may_renew) = (self.top_fence, self.renewal.by_delegate(machine, fence, tells, self.now));
         let ask = Ask { machine, zone, at: report.stamped(), content: report.content() };
         match self.delegate.report(ask, top, may_renew, self.now) {
             Whose::NotOurs => return false,
@@ -167,6 +160,7 @@
             PeerMessage::Delegation(d) if self.heed(d.fence, from) && !self.seat.leads() => {
                 self.delegate.granted(from, d, self.now);
             }
+            PeerMessage::Doubt(doubt) if doubt.fence >= self.top_fence => self.renewal.told(doubt, self.now),
             PeerMessage::Want { fence, machines } if self.delegate.fence() == Some(fence) => {
                 self.delegate.wanted(machines);
             }
--- a/crates/scheduler/src/node/master/calls.rs
+++ b/crates/scheduler/src/node/master/calls.rs
@@ -18,7 +18,7 @@
     /// Takes a report and answers it; false: this node may not speak for the controllers now.
     pub(in crate::node) fn report(&mut self, ctx: &mut Ctx, request: OpId, report: &Report) -> bool {
         let may_start = self.may_start(ctx);
-        if !self.may_renew(ctx) {
+        if !self.may_renew(ctx, &report.machine) {
             return false;
         }
         if self.tombs.contains_key(&report.machine) {
--- a/crates/scheduler/src/node/master/homes.rs
+++ b/crates/scheduler/src/node/master/homes.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::compat;
-use pearford_homes::{Digest, Heard};
+use pearford_homes::{Digest, Doubt, Heard};
 
 /// Orders in one message to a node.
 const ERRANDS_AT_ONCE: usize = 500;
@@ -41,7 +41,9 @@
         let all: Vec<(NodeName, Zone)> =
             std::iter::once((self.settings.node.clone(), self.settings.zone.clone())).chain(peers).collect();
         let Some(delegation) = self.hub.delegation(&all, self.loaded(), ctx.now) else { return };
+        let doubt = self.doubt(delegation.beat);
         for peer in ctx.peers.names() {
+            ctx.out.tell(peer, PeerMessage::Doubt(doubt.clone()));
             ctx.out.tell(peer, PeerMessage::Delegation(delegation.clone()));
         }
         let up = || self.machines.values().filter(|m| m.standing == Standing::Up);
@@ -50,6 +52,19 @@
         }
     }
 
+    /// Where starts of this leader may still arrive.
+    fn doubt(&self, beat: u64) -> Doubt {
+        let doubtful = self.machines.values().filter(|m| m.in_doubt());
+        let (mut machines, mut never) = (Vec::new(), Vec::new());
+        for m in doubtful {
+            machines.push(m.id.clone());
+            if m.standing == Standing::Releasing {
+                never.push(m.id.clone());
+            }
+        }
+        Doubt::new(self.fence, beat, machines, never)
+    }
+
     /// What another node has heard of workers.
     pub(in crate::node) fn digest(&mut self, ctx: &mut Ctx, from: &NodeName, digest: Digest) {
         if !self.loaded() || !ctx.holds {
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -43,7 +43,7 @@
 use crate::wire::workers::{self, Report};
 use crate::workers::{Digest, Health, Machine, Outcome, Standing};
 use cloud::CloudOp;
-use pearford_homes::{Full, Hub, Told};
+use pearford_homes::{FRESH, Full, Hub, Renewal, Told};
 use pearford_recovery::{Act, Gathering, Pace, Phase};
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -56,8 +56,6 @@
 const LOOKS_REST: f64 = 3.0;
 const PLANS_REST: f64 = 9.0;
 const RETRY_EVERY: Span = Span::ms(2000);
-/// How old the last look at the job records may be for starts to leave.
-const START_FRESHNESS: Span = Span::ms(5000);
 /// A returned machine's late reports and listings are ignored for this long.
 const TOMB_LIFE: Span = Span::ms(600_000);
 /// Failures in a row from which on they speak of the job rather than of machines.
@@ -72,6 +70,7 @@
     pub holds: bool,
     /// Start of the newest read of the job records.
     pub fresh_at: Time,
+    pub renewal: &'a Renewal,
     pub mirror: &'a mut Mirror,
     pub counts: &'a mut Counts,
     /// Every node understands delegations, and answers reports in the leader's name.
@@ -440,12 +439,15 @@
 
     /// Whether starts may leave: validly leading, all records read, withdrawals known.
     fn may_start(&self, ctx: &Ctx) -> bool {
-        ctx.valid && self.gathering.allows(Act::Start) && ctx.now.since(ctx.fresh_at) < START_FRESHNESS
+        ctx.valid && self.gathering.allows(Act::Start) && ctx.now.since(ctx.fresh_at) < FRESH
     }
 
-    /// Whether reports may be answered with 200, which renews the worker's lease.
-    fn may_renew(&self, ctx: &Ctx) -> bool {
-        ctx.holds && ctx.now.since(ctx.fresh_at) < self.settings.workers.hold()
+    /// Whether a machine's reports may be answered with 200, which renews the worker's lease.
+    fn may_renew(&self, ctx: &Ctx, machine: &MachineId) -> bool {
+        let m = self.machines.get(machine);
+        let doubtful = m.is_some_and(Machine::in_doubt);
+        let returned = m.is_some_and(|m| m.standing == Standing::Releasing);
+        ctx.holds && !(doubtful && returned) && ctx.renewal.by_leader(doubtful, ctx.now)
     }
 
     /// An answer of the state service to one of this leader's requests.
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -32,6 +32,9 @@
 /// While most machines are silent, none is given up for this many report intervals.
 const SUSPECT_REPORTS: f64 = 4.0;
 
+/// Report intervals after which a machine is returned where a start may still arrive that is to be stopped.
+const HAUNTED_REPORTS: f64 = 4.0;
+
 /// How a zone's machines are heard.
 #[derive(Debug, Default)]
 struct ZoneSilence {
@@ -158,6 +161,8 @@
         let may_give_up = self.gathering.may_give_up(now);
         let words_came = now.since(self.since) >= WORDS_COME;
         let gives_up = self.gathering.allows(Act::GiveUp);
+        // With a lease to run out after it, should the cloud not answer either.
+        let haunts = report.times(HAUNTED_REPORTS).min(self.settings.workers.hold().times(0.5));
         for m in self.machines.values_mut() {
             let lost = match (m.standing, m.last_report) {
                 // A node in there answers its workers: their leases live on, and nothing follows from this silence.
@@ -200,7 +205,7 @@
                 m.entries.get(task).is_some_and(|e| {
                     e.attempt == *attempt
                         && matches!(e.state, EntryState::Sent { .. })
-                        && e.stop.is_some_and(|s| now.since(s.since) > report.times(4.0))
+                        && e.stop.is_some_and(|s| now.since(s.since) > haunts)
                 })
             });
             if lost || haunted {
--- a/crates/scheduler/src/workers/mod.rs
+++ b/crates/scheduler/src/workers/mod.rs
@@ -234,6 +234,11 @@
         }
     }
 
+    /// Whether a start of this leader's may still arrive there, for all that is known.
+    pub fn in_doubt(&self) -> bool {
+        !self.doubtful.is_empty() || self.entries.values().any(|e| e.state == EntryState::Direct)
+    }
+
     /// Whether this leader has heard the worker. The record of a machine that was returned may outlive
     /// it, where its removal was not written before a take-over.
     pub fn heard(&self) -> bool {
--- a/crates/scheduler/src/world/gap.rs
+++ b/crates/scheduler/src/world/gap.rs
@@ -17,6 +17,7 @@
 fn gap_day(seed: u64) -> (World, u64) {
     let mut w = World::of(seed, NODES, 60);
     w.cloud.generous = 30;
+    w.keeps_images = true;
     // The ends of the drift between two steady clocks.
     w.drift_ppm = (0..NODES as u64).map(|i| if (seed >> i) & 1 == 0 { -500 } else { 500 }).collect();
     for n in 0..36 {
@@ -131,3 +132,51 @@
     let wrong = of_seeds(3_000, 24, |seed| broken(seed, None));
     assert!(wrong.is_empty(), "{} broken:\n{}", wrong.len(), wrong.join("\n"));
 }
+
+/// Starts are held up on their way from the leader, longer than their jobs' cancellations may take, while their workers
+/// are answered by other nodes; and the state service goes away before the leader can return those machines.
+fn held_day(seed: u64) -> (World, u64) {
+    let mut w = World::of(seed, NODES, 200);
+    w.cloud.generous = 30;
+    w.keeps_images = true;
+    w.drift_ppm = (0..NODES as u64).map(|i| if (seed >> i) & 1 == 0 { -500 } else { 500 }).collect();
+    // These leave room behind on machines that all nodes have heard.
+    for n in 0..24 {
+        let mut body = job(n, "array", 2);
+        let at = w.rng_ms(500, 8_000);
+        body["expected_s"] = ((T - 8_000 - at) as f64 / 1000.0).into();
+        w.add_user(at, body, None);
+    }
+    for n in 24..90 {
+        let mut body = job(n, "array", 1);
+        body["expected_s"] = 400.0.into();
+        let at = w.rng_ms(T - 3_000, T + 1_500);
+        let gone = w.rng_ms(T - 1_000, T + 1_500);
+        w.add_user(at, body, Some(gone));
+    }
+    let held = w.rng_ms(T - 500, T + 500);
+    let for_ms = w.rng_ms(49_500, 56_000);
+    w.at(held, Event::Fault(Fault::Leader(Leader::Held, for_ms)));
+    let down = w.rng_ms(T + 8_000, T + 14_000);
+    w.at(down, Event::Fault(Fault::StateOutage(true)));
+    w.at(down + 70_000, Event::Fault(Fault::StateOutage(false)));
+    for n in 0..w.rng.random_range(3..6) {
+        let (at, ms) = (w.rng_ms(T - 3_000, T + 20_000), w.rng.random_range(2_000..20_000));
+        let fault = [Fault::MachineHangs(ms), Fault::MachineDies, Fault::MachineDeaf(ms)][n % 3].clone();
+        w.at(at, Event::Fault(fault));
+    }
+    (w, down + 70_000)
+}
+
+fn held_broken(seed: u64, sabotage: Option<fn(&mut Core, u64)>) -> Option<String> {
+    let (mut w, over) = held_day(seed);
+    w.sabotage = sabotage;
+    w.run_until(over + 60_000);
+    w.rules.broken.first().cloned()
+}
+
+#[test]
+fn starts_held_up_for_longer_than_a_cancellation_may_take_reach_no_living_session() {
+    let wrong = of_seeds(3_500, 16, |seed| held_broken(seed, None));
+    assert!(wrong.is_empty(), "{} broken:\n{}", wrong.len(), wrong.join("\n"));
+}
--- a/crates/scheduler/src/world/mod.rs
+++ b/crates/scheduler/src/world/mod.rs
@@ -140,8 +140,7 @@
         b: Host,
         on: bool,
     },
-    /// Of whoever leads then: the state service refuses it (`Leader::Refused`) or can't reach it, nor can its peers
-    /// (`Leader::Apart`), for so long; or its process ends.
+    /// What befalls whoever leads then, for so long.
     Leader(Leader, u64),
     /// That share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones.
     LateWrites(f64),
@@ -163,8 +162,13 @@
 /// What befalls whoever leads.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Leader {
+    /// The state service refuses it.
     Refused,
+    /// It reaches neither the state service nor its peers, but workers and users.
     Apart,
+    /// What it sends to each second machine, also to those to come, is held back.
+    Held,
+    /// Its process ends.
     Ends,
 }
 
@@ -263,6 +267,8 @@
     held: Vec<(Host, Host, Event)>,
     /// How fast each node's steady clock runs, in millionths beyond true time.
     pub drift_ppm: Vec<i64>,
+    /// A task whose image its machine has got before starts at once.
+    pub keeps_images: bool,
     late_writes: f64,
     late_reports: f64,
     state_slow: u64,
@@ -310,6 +316,7 @@
             holds: BTreeSet::new(),
             held: Vec::new(),
             drift_ppm: vec![0; nodes],
+            keeps_images: false,
             late_writes: 0.0,
             late_reports: 0.0,
             state_slow: 0,
@@ -767,6 +774,13 @@
                 let Some(i) = self.leader() else { return };
                 match what {
                     Leader::Ends => self.fault(Fault::Crash(i)),
+                    Leader::Held => {
+                        for m in (0..self.workers.len() + 100).step_by(2) {
+                            let hold = |on| Fault::Hold { a: Host::Node(i), b: Host::Machine(m), on };
+                            self.fault(hold(true));
+                            self.after(ms, Event::Fault(hold(false)));
+                        }
+                    }
                     Leader::Refused => {
                         self.fault(Fault::Refuse(i, true));
                         self.after(ms, Event::Fault(Fault::Refuse(i, false)));
--- a/crates/scheduler/src/world/workers.rs
+++ b/crates/scheduler/src/world/workers.rs
@@ -5,6 +5,7 @@
 use crate::wire::cloud::ListedMachine;
 use rand::RngExt;
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum State {
@@ -56,6 +57,8 @@
     in_flight: Option<u64>,
     reports: u64,
     answered_sent: u64,
+    /// Images that a task got here.
+    images: BTreeSet<String>,
     /// Sabotage: obeys any token.
     pub gullible: bool,
 }
@@ -123,6 +126,7 @@
             in_flight: None,
             reports: 0,
             answered_sent: 0,
+            images: BTreeSet::new(),
             gullible: false,
         });
         let m = self.workers.len() - 1;
@@ -347,11 +351,17 @@
             }
         };
         let fetch = self.rng_ms(200, 2500);
+        let image = body.as_ref().and_then(|b| b["bundle"].as_str()).unwrap_or_default().to_string();
+        let has = !self.workers[m].images.insert(image) && self.keeps_images;
+        let fetch = if has { 0 } else { fetch };
         let state = match refuse {
             Some(cause) => State::Exited { cause, kept: false },
             None => State::Fetching { until: now + fetch },
         };
         self.workers[m].tasks.push(Task { name, attempt, state, at: now });
+        if has {
+            self.advance(m);
+        }
     }
 
     /// Lets a worker's tasks move on.
