--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -23,7 +23,7 @@
 use crate::wire::state::{Change, StateReply, StateRequest};
 use crate::wire::workers::{self, Report};
 use features::Slot;
-use pearford_homes::{Delegate, Renewal, Stamped, Teller};
+use pearford_homes::{Bounds, Delegate, Renewal, Stamped, Teller};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use reports::Passing;
@@ -110,7 +110,7 @@
             levels: Levels::new(settings.node.clone(), settings.peers.iter().map(|p| p.name.clone())),
             master: None,
             delegate: Delegate::new(settings.node.clone()),
-            renewal: Renewal::new(settings.workers.hold()),
+            renewal: Renewal::new(Bounds::of(settings.workers.hold())),
             passing: Passing::default(),
             teller: Teller::default(),
             served: Served::default(),
--- a/crates/scheduler/src/node/core/reports.rs
+++ b/crates/scheduler/src/node/core/reports.rs
@@ -111,7 +111,9 @@
                     _ => Vec::new(),
                 };
                 let mirror = &self.mirror;
-                stop_what_is_over(report, |job| mirror.verdict(job).is_some(), &mut orders);
+                if self.renewal.stops() {
+                    stop_what_is_over(report, |job| mirror.verdict(job).is_some(), &mut orders);
+                }
                 self.out.answer(request, 200, workers::answer(fence, &orders));
             }
         }
--- a/crates/scheduler/src/node/master/calls.rs
+++ b/crates/scheduler/src/node/master/calls.rs
@@ -46,7 +46,9 @@
                 orders = m.orders(report, may_start, over, may_start);
             }
         }
-        stop_what_is_over(report, |job| mirror.verdict(job).is_some(), &mut orders);
+        if ctx.renewal.stops() {
+            stop_what_is_over(report, |job| mirror.verdict(job).is_some(), &mut orders);
+        }
         ctx.out.answer(request, 200, workers::answer(self.fence, &orders));
         true
     }
--- a/crates/scheduler/src/node/master/homes.rs
+++ b/crates/scheduler/src/node/master/homes.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::compat;
-use pearford_homes::{Digest, Doubt, Heard};
+use pearford_homes::{Digest, Doubt, FRESH, Heard};
 
 /// Orders in one message to a node.
 const ERRANDS_AT_ONCE: usize = 500;
@@ -41,7 +41,7 @@
         let all: Vec<(NodeName, Zone)> =
             std::iter::once((self.settings.node.clone(), self.settings.zone.clone())).chain(peers).collect();
         let Some(delegation) = self.hub.delegation(&all, self.loaded(), ctx.now) else { return };
-        let doubt = self.doubt(delegation.beat);
+        let doubt = self.doubt(delegation.beat, ctx.now.since(ctx.fresh_at) >= FRESH);
         for peer in ctx.peers.names() {
             ctx.out.tell(peer, PeerMessage::Doubt(doubt.clone()));
             ctx.out.tell(peer, PeerMessage::Delegation(delegation.clone()));
@@ -52,13 +52,13 @@
         }
     }
 
-    /// Where starts of this leader may still arrive.
-    fn doubt(&self, beat: u64) -> Doubt {
+    /// Where starts of this leader may still arrive. `blind`: its own look is too old to know what is cancelled.
+    fn doubt(&self, beat: u64, blind: bool) -> Doubt {
         let doubtful = self.machines.values().filter(|m| m.in_doubt());
         let (mut machines, mut never) = (Vec::new(), Vec::new());
         for m in doubtful {
             machines.push(m.id.clone());
-            if m.standing == Standing::Releasing {
+            if blind || m.standing == Standing::Releasing {
                 never.push(m.id.clone());
             }
         }
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -183,6 +183,8 @@
     told: Told,
     next_told: Time,
     cut: BTreeSet<Zone>,
+    /// This leader has not seen the job records for too long to know what is cancelled.
+    blind: bool,
     /// Until when a zone was cut off and answered by a node in there.
     parted: BTreeMap<Zone, Time>,
     /// What this node heard before it led, for when all records are read.
@@ -390,6 +392,7 @@
             told: Told::default(),
             next_told: now,
             cut: BTreeSet::new(),
+            blind: false,
             parted: BTreeMap::new(),
             early,
             errands: BTreeMap::new(),
@@ -493,6 +496,7 @@
         self.gather(now);
         self.drain_warned(now);
         self.mend_gangs(now);
+        self.blind = now.since(ctx.fresh_at) >= FRESH + self.haunts();
         self.find_lost(ctx.peers.zones_heard(), now);
         self.probe(ctx);
         self.call_cloud(ctx);
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -34,6 +34,8 @@
 
 /// Report intervals after which a machine is returned where a start may still arrive that is to be stopped.
 const HAUNTED_REPORTS: f64 = 4.0;
+/// The same as a part of the hold: see the inequality in the design ("Outages").
+const HAUNTED_HOLD: f64 = 0.25;
 
 /// How a zone's machines are heard.
 #[derive(Debug, Default)]
@@ -127,6 +129,12 @@
         }
     }
 
+    /// After how long a machine is returned where a start may still arrive that is to be stopped.
+    pub(super) fn haunts(&self) -> Span {
+        let workers = &self.settings.workers;
+        Span::secs(workers.report_s).times(HAUNTED_REPORTS).min(workers.hold().times(HAUNTED_HOLD))
+    }
+
     /// Machines that fell silent, or never came up, are returned: the cloud's 200 is the quick
     /// proof that their tasks are gone.
     pub(super) fn find_lost(&mut self, zones_heard: &BTreeMap<Zone, Time>, now: Time) {
@@ -162,7 +170,7 @@
         let words_came = now.since(self.since) >= WORDS_COME;
         let gives_up = self.gathering.allows(Act::GiveUp);
         // With a lease to run out after it, should the cloud not answer either.
-        let haunts = report.times(HAUNTED_REPORTS).min(self.settings.workers.hold().times(0.5));
+        let haunts = self.haunts();
         for m in self.machines.values_mut() {
             let lost = match (m.standing, m.last_report) {
                 // A node in there answers its workers: their leases live on, and nothing follows from this silence.
@@ -208,7 +216,7 @@
                         && e.stop.is_some_and(|s| now.since(s.since) > haunts)
                 })
             });
-            if lost || haunted {
+            if lost || haunted || (self.blind && m.in_doubt()) {
                 tracing::warn!(machine = %m.id, standing = ?m.standing, tasks = m.entries.len(), "machine lost; returning it");
                 m.standing = Standing::Releasing;
                 self.blocks.remove(&m.id);
