--- a/crates/scheduler/src/node/master/apart.rs
+++ b/crates/scheduler/src/node/master/apart.rs
@@ -7,6 +7,8 @@
 pub(in crate::node) const PREFIX: &str = "apart/";
 const ASK_EVERY: Span = Span::ms(2000);
 const MOST: u32 = 100;
+/// After the first reports, until they have come by way of other nodes as well.
+const SETTLES: Span = Span::ms(1000);
 
 impl Master {
     /// While some node isn't heard, what it says is looked up.
@@ -39,6 +41,11 @@
     /// smaller side only for as long as the cut lasts.
     pub(super) fn is_outweighed(&self, now: Time) -> bool {
         let interval = Span::secs(self.settings.workers.report_s).times(1.25);
+        // A new leader has not heard its own side yet: compared too early each resigned to the next, all stood aside, and
+        // nobody led for 14 s (parted days, seed 928).
+        if now.since(self.since) < interval + SETTLES {
+            return false;
+        }
         let heard = |m: &&Machine| m.heard() && m.last_report.is_some_and(|at| now.since(at) <= interval);
         self.told.outweigh(|| self.machines.values().filter(heard).count() as u32, self.fence, now)
     }
--- a/crates/scheduler/src/world/tests.rs
+++ b/crates/scheduler/src/world/tests.rs
@@ -270,14 +270,9 @@
 /// leases would have ended, while a node there answered them all along.
 #[test]
 fn a_zone_that_reaches_the_state_service_lives_on_apart_from_the_others() {
-    // Of 120 seeds from 920 on, five return some: two of them below, in KNOWN-RED.txt.
-    live_on_apart((920..934).filter(|seed| *seed != 928));
-}
-
-/// A new leader that has no word yet of a node that is apart goes by how long ago the zone was heard.
-#[test]
-fn a_zone_apart_lives_on_when_the_lead_changes_on_the_other_side() {
-    live_on_apart([928, 940].into_iter());
+    // Of 120 seeds from 920 on, one returns a machine (976); five did while new leaders resigned one after the other
+    // (928 and 940 among them).
+    live_on_apart((920..934).chain([940]));
 }
 
 fn live_on_apart(seeds: impl Iterator<Item = u64>) {
