A fence that the state service can't have given moves nothing; impossible reports get 400

Fences are revisions: what lies beyond the newest that this node knows and what the write rate allows since is refused, and noted by nobody. A node that has read nothing yet can't tell, and notes none.

--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -57,6 +57,8 @@
     heard_worker: Time,
     leader_hint: Option<(Fence, NodeName, Time)>,
     top_fence: Fence,
+    /// The state service's revision, as far as this node has ever known.
+    revision: u64,
     catalogue: Catalogue,
     /// How jobs stand, as the leader told last.
     standings: BTreeMap<JobId, (u32, u32)>,
@@ -101,6 +103,7 @@
             heard_worker: Time::default(),
             leader_hint: None,
             top_fence: Fence(0),
+            revision: 0,
             catalogue: Catalogue::default(),
             standings: BTreeMap::new(),
             counts: Counts::default(),
@@ -144,6 +147,7 @@
             Input::Peer(envelope) => self.peer(envelope),
             Input::Call { slot, request, call } => self.call(slot, request, call),
         }
+        self.revision = self.revision.max(self.mirror.epoch().unwrap_or(0));
         let changed = self.mirror.take_changed();
         if !changed.is_empty() {
             for id in &changed {
@@ -381,6 +385,7 @@
 
     fn take_over(&mut self, fence: Fence) {
         tracing::info!(%fence, "leads now");
+        self.revision = self.revision.max(fence.0);
         self.saw_fence(fence);
         let types = self.catalogue.types().to_vec();
         let early = self.delegate.leads(self.now);
@@ -483,16 +488,28 @@
     /// Whether to listen to a leader with `fence`; remembers it for redirects.
     fn heed(&mut self, fence: Fence, from: &NodeName) -> bool {
         self.saw_fence(fence);
-        if fence < self.top_fence {
+        if fence < self.top_fence || !self.is_possible(fence) {
             return false;
         }
         self.leader_hint = Some((fence, from.clone(), self.now));
         true
     }
 
-    /// A higher fence means that somebody else has led since: stop at once.
+    /// Whether the state service can have given a fence: fences are its revisions, and each change is one at most. One
+    /// report that named 2^64 - 1 would else have every leader step down, for good. A node that has read nothing yet
+    /// can't tell, and notes none.
+    fn is_possible(&self, fence: Fence) -> bool {
+        if self.revision == 0 {
+            return true;
+        }
+        let since = self.now.since(self.follower.fresh_at()).as_secs() + 2.0;
+        let more = 2.0 * self.settings.state.write_rps * since;
+        fence.0 <= self.top_fence.0.max(self.revision).saturating_add(more as u64)
+    }
+
+    /// A higher fence means that somebody else has led since: stop at once. What can't be one says nothing.
     fn saw_fence(&mut self, fence: Fence) {
-        if fence > self.top_fence {
+        if fence > self.top_fence && self.revision > 0 && self.is_possible(fence) {
             self.top_fence = fence;
             if self.seat.leads() && self.seat.fence() < fence {
                 self.seat.step_down(self.now);
--- a/crates/scheduler/src/node/core/reports.rs
+++ b/crates/scheduler/src/node/core/reports.rs
@@ -48,6 +48,10 @@
             Ok(report) => report,
             Err(error) => return self.out.refuse(request, 400, &error.to_string()),
         };
+        if !self.is_possible(report.fence) {
+            tracing::warn!(machine = %report.machine, fence = %report.fence, "a report names a fence that nobody can have given");
+            return self.out.refuse(request, 400, "fence: no controller can have given it");
+        }
         self.saw_fence(report.fence);
         if !self.answer_report(request, &report) {
             self.heard_worker = self.now;
--- a/crates/scheduler/src/world/meetings.rs
+++ b/crates/scheduler/src/world/meetings.rs
@@ -6,8 +6,9 @@
 use super::gap::of_seeds;
 use super::tests::{day, run};
 use super::{Event, Fault, Host, Leader, NODES, World, job};
-use crate::node::Core;
+use crate::node::{Core, Method};
 use rand::RngExt;
+use serde_json::json;
 
 /// How long no question about a job may go without an answer, once all troubles are over.
 const UNANSWERED: u64 = 75_000;
@@ -183,3 +184,28 @@
     assert!(!broken(&|w| w.sabotage = Some(done_early)).is_empty(), "done told early");
     assert!(!broken(&|w| w.state.careless = true).is_empty(), "late transactions without conditions");
 }
+
+/// A report that names a fence, a serial or an attempt which nobody can have given changes nothing for the others.
+#[test]
+fn impossible_numbers_in_a_report_are_refused_and_move_no_fence() {
+    let mut w = day(4_990, |_| {});
+    w.run_until(20_000);
+    let leader = w.leader().expect("somebody leads");
+    let top = u64::MAX;
+    for (tag, (fence, serial, tenure, attempt)) in
+        [(top, 1, 1, 1), (top - 1, top, top, top), (1, top, top, top), (0, 0, 0, 0)].into_iter().enumerate()
+    {
+        let task = json!({"shard": "req-999999/0", "try": attempt, "phase": "running"});
+        let body = json!({"host": "m-999999", "addr": "10.9.9.9:1", "flavor": "small", "region": "z0",
+            "preemptible": false, "tenure": tenure, "serial": serial, "fence": fence, "shards": [task, task]});
+        for i in 0..NODES {
+            assert!(w.ask(i, tag as u64, Method::Post, "/v1/report", &body.to_string()));
+        }
+        w.run_until(w.now + 1_000);
+        assert_eq!(w.leader(), Some(leader), "fence {fence}");
+    }
+    let refused = w.answers.iter().filter(|a| a.tag < 2);
+    assert!(refused.clone().count() == 2 * NODES && refused.clone().all(|a| a.status == 400));
+    let w = run(4_990, w);
+    assert!(nobody_forgotten(&w).is_none());
+}
