--- a/crates/scheduler/src/world/gap.rs
+++ b/crates/scheduler/src/world/gap.rs
@@ -3,25 +3,31 @@
 
 #![cfg(test)]
 
-use super::{Event, Fault, Host, Leader, World, job};
+use super::recovery::seeds;
+use super::{Event, Fault, Host, Leader, NODES, World, job};
 use crate::node::Core;
 use crate::types::Span;
 use pearford_homes::Without;
 use rand::RngExt;
+use std::ops::Range;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-const NODES: usize = 3;
 /// When the troubles begin.
 const T: u64 = 30_000;
 
-/// Long jobs of all shapes, most of them cancelled around the refusal. Gives when the last trouble is over.
-fn gap_day(seed: u64) -> (World, u64) {
-    let mut w = World::of(seed, NODES, 60);
+/// Clocks at the ends of their drift, and images that stay where they are.
+fn world(seed: u64, gpus: u32) -> World {
+    let mut w = World::of(seed, NODES, gpus);
     w.cloud.generous = 30;
     w.keeps_images = true;
-    // The ends of the drift between two steady clocks.
     w.drift_ppm = (0..NODES as u64).map(|i| if (seed >> i) & 1 == 0 { -500 } else { 500 }).collect();
+    w
+}
+
+/// Long jobs of all shapes, most of them cancelled around the refusal. Gives when the last trouble is over.
+fn gap_day(seed: u64) -> (World, u64) {
+    let mut w = world(seed, 60);
     for n in 0..36 {
         let shape = ["daemon", "array", "ensemble", "daemon"][n % 4];
         let tasks = w.rng.random_range(1..3);
@@ -100,16 +106,15 @@
 }
 
 /// What is wrong with each of some seeds' days, on all processors.
-pub fn of_seeds(from: u64, usual: u64, play: impl Fn(u64) -> Option<String> + Sync) -> Vec<String> {
-    let count = std::env::var("PEARFORD_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(usual);
-    let next = AtomicU64::new(from);
+pub fn of_seeds(seeds: Range<u64>, play: impl Fn(u64) -> Option<String> + Sync) -> Vec<String> {
+    let next = AtomicU64::new(seeds.start);
     let wrong = Mutex::new(Vec::new());
     std::thread::scope(|s| {
         for _ in 0..std::thread::available_parallelism().map_or(1, |n| n.get()) {
             s.spawn(|| {
                 loop {
                     let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed >= from + count {
+                    if seed >= seeds.end {
                         return;
                     }
                     if let Some(what) = play(seed) {
@@ -122,8 +127,9 @@
     wrong.into_inner().expect("no thread panicked")
 }
 
-fn broken(seed: u64, sabotage: Option<fn(&mut Core, u64)>) -> Option<String> {
-    let (mut w, over) = gap_day(seed);
+/// Plays a day, until two minutes after its last trouble.
+fn broken(day: fn(u64) -> (World, u64), seed: u64, sabotage: Option<fn(&mut Core, u64)>) -> Option<String> {
+    let (mut w, over) = day(seed);
     w.sabotage = sabotage;
     w.run_until(over + 120_000);
     w.rules.broken.first().cloned()
@@ -131,7 +137,7 @@
 
 #[test]
 fn cancelled_tasks_are_gone_in_time_though_the_state_service_refuses_the_leader_and_then_everybody() {
-    let wrong = of_seeds(3_000, 24, |seed| broken(seed, None));
+    let wrong = of_seeds(seeds(3_000, 24), |seed| broken(gap_day, seed, None));
     assert!(wrong.is_empty(), "{} broken:\n{}", wrong.len(), wrong.join("\n"));
 }
 
@@ -139,10 +145,7 @@
 /// are answered by other nodes; and the cloud does not answer the leader that would return those machines, before the
 /// state service goes away too.
 fn held_day(seed: u64) -> (World, u64) {
-    let mut w = World::of(seed, NODES, 200);
-    w.cloud.generous = 30;
-    w.keeps_images = true;
-    w.drift_ppm = (0..NODES as u64).map(|i| if (seed >> i) & 1 == 0 { -500 } else { 500 }).collect();
+    let mut w = world(seed, 200);
     // These leave room behind on machines that all nodes have heard.
     for n in 0..24 {
         let mut body = job(n, "array", 2);
@@ -173,16 +176,9 @@
     (w, down + 70_000)
 }
 
-fn held_broken(seed: u64, sabotage: Option<fn(&mut Core, u64)>) -> Option<String> {
-    let (mut w, over) = held_day(seed);
-    w.sabotage = sabotage;
-    w.run_until(over + 60_000);
-    w.rules.broken.first().cloned()
-}
-
 #[test]
 fn starts_held_up_for_longer_than_a_cancellation_may_take_reach_no_living_session() {
-    let wrong = of_seeds(3_500, 16, |seed| held_broken(seed, None));
+    let wrong = of_seeds(seeds(3_500, 16), |seed| broken(held_day, seed, None));
     assert!(wrong.is_empty(), "{} broken:\n{}", wrong.len(), wrong.join("\n"));
 }
 
@@ -198,7 +194,16 @@
     fn doubt(core: &mut Core, _: u64) {
         core.sabotage_renewal(Without::Doubt);
     }
-    assert!(!of_seeds(3_238, 12, |seed| broken(seed, Some(stops))).is_empty(), "answers that stop nothing");
-    assert!(!of_seeds(3_000, 32, |seed| broken(seed, Some(longer))).is_empty(), "renewed for longer");
-    assert!(!of_seeds(3_500, 32, |seed| held_broken(seed, Some(doubt))).is_empty(), "starts in doubt");
+    assert!(
+        !of_seeds(3_238..3_250, |seed| broken(gap_day, seed, Some(stops))).is_empty(),
+        "answers that stop nothing"
+    );
+    assert!(
+        !of_seeds(3_000..3_032, |seed| broken(gap_day, seed, Some(longer))).is_empty(),
+        "renewed for longer"
+    );
+    assert!(
+        !of_seeds(3_500..3_532, |seed| broken(held_day, seed, Some(doubt))).is_empty(),
+        "starts in doubt"
+    );
 }
--- a/crates/scheduler/src/world/meetings.rs
+++ b/crates/scheduler/src/world/meetings.rs
@@ -4,6 +4,7 @@
 
 use super::days::{DAY_ENDS, TROUBLE_ENDS};
 use super::gap::of_seeds;
+use super::recovery::seeds;
 use super::tests::{day, run};
 use super::{Event, Fault, Host, Leader, NODES, World, job};
 use crate::node::{Core, Method};
@@ -149,7 +150,7 @@
 
 #[test]
 fn where_two_troubles_meet_no_rule_breaks_and_nobody_is_forgotten() {
-    let wrong = of_seeds(4_000, 40, |seed| {
+    let wrong = of_seeds(seeds(4_000, 40), |seed| {
         let (w, met) = meeting_day(seed);
         let end = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run(seed, w)));
         match end {
@@ -173,7 +174,7 @@
         core.sabotage_done_early();
     }
     let broken = |spoil: &(dyn Fn(&mut World) + Sync)| {
-        of_seeds(4_000, 32, |seed| {
+        of_seeds(4_000..4_032, |seed| {
             let (mut w, _) = meeting_day(seed);
             spoil(&mut w);
             w.run_until(DAY_ENDS);
--- a/crates/scheduler/src/world/recovery.rs
+++ b/crates/scheduler/src/world/recovery.rs
@@ -128,7 +128,8 @@
     assert!(!all.is_empty() && served == all.len(), "seed {seed}: {what}: {served} of {} served", all.len());
 }
 
-fn seeds(from: u64, usual: u64) -> std::ops::Range<u64> {
+/// So many seeds as usual, or as `PEARFORD_SEEDS` says: it looks further than a landing has time for.
+pub(super) fn seeds(from: u64, usual: u64) -> std::ops::Range<u64> {
     let more = std::env::var("PEARFORD_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(usual);
     from..from + more
 }
--- a/crates/scheduler/src/world/tests.rs
+++ b/crates/scheduler/src/world/tests.rs
@@ -3,6 +3,7 @@
 #![cfg(test)]
 
 use super::days::{DAY_ENDS, troubles};
+use super::recovery::seeds;
 use super::{Event, Fault, Host, NODES, Stage, Submits, World, job};
 use crate::jobs::graph::Guard;
 use crate::node::{Core, Effect, Input, Method, Now};
@@ -67,9 +68,7 @@
 
 #[test]
 fn troubled_days_keep_the_rules_and_recover() {
-    // PEARFORD_SEEDS=1000 looks further than a landing has time for.
-    let more = std::env::var("PEARFORD_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(40);
-    for seed in 100..100 + more {
+    for seed in seeds(100, 40) {
         run(seed, day(seed, troubles));
     }
 }
@@ -131,8 +130,7 @@
 #[test]
 fn a_seed_plays_the_same_day_again() {
     use std::hash::Hasher;
-    let more = std::env::var("PEARFORD_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(3);
-    for seed in 1000..1000 + more {
+    for seed in seeds(1000, 3) {
         let play = || {
             let mut w = if seed % 3 == 0 { upgrade_day(seed, true) } else { day(seed, troubles) };
             w.run_until(DAY_ENDS);
@@ -472,8 +470,7 @@
 
 #[test]
 fn an_upgrade_one_by_one_keeps_the_rules_and_ends_within_the_lower_limits() {
-    let more = std::env::var("PEARFORD_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(24);
-    for seed in 800..800 + more {
+    for seed in seeds(800, 24) {
         let w = upgrade_day(seed, seed % 4 != 0);
         let w = run(seed, w);
         assert!(w.state.too_large.is_empty(), "seed {seed}: over the limits: {:?}", w.state.too_large);
