Reread: the age of a look is asked of one piece; haunted machines have a pass of their own

Written twice: how old a look may be for starts stood in Renewal's bounds and again, from the follower's time, in the leader's part; a field carried from housekeeping into find_lost what both can derive; the return of haunted machines sat in the match on silence. Now Renewal answers (is_fresh, is_blind_for), find_haunted decides, and a machine that is being returned for it is logged once instead of twice a second. Same bounds, same order, nothing else.

--- a/crates/homes/src/lib.rs
+++ b/crates/homes/src/lib.rs
@@ -22,7 +22,7 @@
 pub use delegate::{Ask, Delegate, Guard, Turn};
 pub use hub::{Heard, Hub, Known};
 pub use messages::{Delegation, Digest, Full, Relayed, RelayedCall, Same, Stamped};
-pub use renewal::{Bounds, Doubt, FRESH, Renewal, Without};
+pub use renewal::{Bounds, Doubt, Renewal, Without};
 pub use rule::{Homes, Place};
 
 /// Identifies what a report says, whoever heard it.
--- a/crates/homes/src/renewal.rs
+++ b/crates/homes/src/renewal.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeSet;
 
 /// How old a leader's look at the job records may be for starts to leave.
-pub const FRESH: Span = Span::ms(5_000);
+const FRESH: Span = Span::ms(5_000);
 /// A node with a look as young has not lost the state service.
 const YOUNG: Span = Span::ms(3_000);
 /// Machines that are named in one message; if there are more, none counts as free of doubt.
@@ -120,6 +120,16 @@
         self.told = Some(Told { fence, beat, at: now, machines, never });
     }
 
+    /// Whether starts may leave by this node's look.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        !self.is_blind_for(Span::ms(0), now)
+    }
+
+    /// Whether its look has been too old for starts for so long already.
+    pub fn is_blind_for(&self, time: Span, now: Time) -> bool {
+        self.look.is_none_or(|look| now.since(look) >= self.bounds.fresh + time)
+    }
+
     /// Whether this node's look is so young that it has not lost the state service: whoever leads can still return a
     /// machine where a start is in doubt.
     fn is_young(&self, now: Time) -> bool {
@@ -154,11 +164,10 @@
         if !self.allows(now) {
             return false;
         }
-        let told = self.told.as_ref().filter(|t| t.fence == fence);
         if self.out == Some(Without::Doubt) {
             return true;
         }
-        match told {
+        match self.told.as_ref().filter(|t| t.fence == fence) {
             Some(told) if told.never.contains(machine) => false,
             _ if self.is_young(now) => true,
             // What was sent after the leader's last word was not cancelled `fresh` before that.
@@ -204,7 +213,7 @@
         assert!(r.by_leader(false, T(1_025_999)), "others live on");
         let other = MachineId::from("m-2");
         assert!(r.by_delegate(&other, F, true, T(1_021_000)));
-        // Later starts may have left, up to the leader's last word and `FRESH` before it.
+        // Later starts may have left, up to the leader's last word and `fresh` before it.
         assert!(!r.by_delegate(&other, F, true, T(1_021_500)));
         // A word from before changes nothing, a leader that has told nothing is not trusted, unless it can't tell.
         r.told(Doubt::new(F, 2, Vec::new(), Vec::new()), T(1_006_000));
--- a/crates/scheduler/src/node/master/homes.rs
+++ b/crates/scheduler/src/node/master/homes.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::compat;
-use pearford_homes::{Digest, Doubt, FRESH, Heard};
+use pearford_homes::{Digest, Doubt, Heard};
 
 /// Orders in one message to a node.
 const ERRANDS_AT_ONCE: usize = 500;
@@ -41,7 +41,7 @@
         let all: Vec<(NodeName, Zone)> =
             std::iter::once((self.settings.node.clone(), self.settings.zone.clone())).chain(peers).collect();
         let Some(delegation) = self.hub.delegation(&all, self.loaded(), ctx.now) else { return };
-        let doubt = self.doubt(delegation.beat, ctx.now.since(ctx.fresh_at) >= FRESH);
+        let doubt = self.doubt(delegation.beat, !ctx.renewal.is_fresh(ctx.now));
         for peer in ctx.peers.names() {
             ctx.out.tell(peer, PeerMessage::Doubt(doubt.clone()));
             ctx.out.tell(peer, PeerMessage::Delegation(delegation.clone()));
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -43,7 +43,7 @@
 use crate::wire::workers::{self, Report};
 use crate::workers::{Digest, Health, Machine, Outcome, Standing};
 use cloud::CloudOp;
-use pearford_homes::{FRESH, Full, Hub, Renewal, Told};
+use pearford_homes::{Full, Hub, Renewal, Told};
 use pearford_recovery::{Act, Gathering, Pace, Phase};
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -183,8 +183,6 @@
     told: Told,
     next_told: Time,
     cut: BTreeSet<Zone>,
-    /// This leader has not seen the job records for too long to know what is cancelled.
-    blind: bool,
     /// Until when a zone was cut off and answered by a node in there.
     parted: BTreeMap<Zone, Time>,
     /// What this node heard before it led, for when all records are read.
@@ -392,7 +390,6 @@
             told: Told::default(),
             next_told: now,
             cut: BTreeSet::new(),
-            blind: false,
             parted: BTreeMap::new(),
             early,
             errands: BTreeMap::new(),
@@ -442,15 +439,14 @@
 
     /// Whether starts may leave: validly leading, all records read, withdrawals known.
     fn may_start(&self, ctx: &Ctx) -> bool {
-        ctx.valid && self.gathering.allows(Act::Start) && ctx.now.since(ctx.fresh_at) < FRESH
+        ctx.valid && self.gathering.allows(Act::Start) && ctx.renewal.is_fresh(ctx.now)
     }
 
     /// Whether a machine's reports may be answered with 200, which renews the worker's lease.
     fn may_renew(&self, ctx: &Ctx, machine: &MachineId) -> bool {
-        let m = self.machines.get(machine);
-        let doubtful = m.is_some_and(Machine::in_doubt);
-        let returned = m.is_some_and(|m| m.standing == Standing::Releasing);
-        ctx.holds && !(doubtful && returned) && ctx.renewal.by_leader(doubtful, ctx.now)
+        let doubtful = self.machines.get(machine).filter(|m| m.in_doubt());
+        let returned = doubtful.is_some_and(|m| m.standing == Standing::Releasing);
+        ctx.holds && !returned && ctx.renewal.by_leader(doubtful.is_some(), ctx.now)
     }
 
     /// An answer of the state service to one of this leader's requests.
@@ -496,8 +492,8 @@
         self.gather(now);
         self.drain_warned(now);
         self.mend_gangs(now);
-        self.blind = now.since(ctx.fresh_at) >= FRESH + self.haunts();
         self.find_lost(ctx.peers.zones_heard(), now);
+        self.find_haunted(ctx.renewal, now);
         self.probe(ctx);
         self.call_cloud(ctx);
         None
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -64,6 +64,13 @@
     }
 }
 
+/// A machine is given up: to be returned.
+fn lose(m: &mut Machine, blocks: &mut Blocks) {
+    tracing::warn!(machine = %m.id, standing = ?m.standing, tasks = m.entries.len(), "machine lost; returning it");
+    m.standing = Standing::Releasing;
+    blocks.remove(&m.id);
+}
+
 impl Master {
     // ---- watching the fleet ----
 
@@ -129,12 +136,6 @@
         }
     }
 
-    /// After how long a machine is returned where a start may still arrive that is to be stopped.
-    pub(super) fn haunts(&self) -> Span {
-        let workers = &self.settings.workers;
-        Span::secs(workers.report_s).times(HAUNTED_REPORTS).min(workers.hold().times(HAUNTED_HOLD))
-    }
-
     /// Machines that fell silent, or never came up, are returned: the cloud's 200 is the quick
     /// proof that their tasks are gone.
     pub(super) fn find_lost(&mut self, zones_heard: &BTreeMap<Zone, Time>, now: Time) {
@@ -169,8 +170,6 @@
         let may_give_up = self.gathering.may_give_up(now);
         let words_came = now.since(self.since) >= WORDS_COME;
         let gives_up = self.gathering.allows(Act::GiveUp);
-        // With a lease to run out after it, should the cloud not answer either.
-        let haunts = self.haunts();
         for m in self.machines.values_mut() {
             let lost = match (m.standing, m.last_report) {
                 // A node in there answers its workers: their leases live on, and nothing follows from this silence.
@@ -207,8 +206,21 @@
                     .is_some_and(|t| now.since(m.rented_at) > fleet::boot_limit(t, o.boot_patience)),
                 _ => false,
             };
-            // A start that may still act can't be stopped before it does; the cloud can prove it
-            // gone, long before a withdrawal's time is up.
+            if lost {
+                lose(m, &mut self.blocks);
+            }
+        }
+    }
+
+    /// A start that may still act can't be stopped before it does; the cloud can prove it gone, long before a
+    /// withdrawal's time is up. Nor can a leader that has not seen the job records for as long know what is withdrawn.
+    pub(super) fn find_haunted(&mut self, renewal: &Renewal, now: Time) {
+        // With a lease to run out after it, should the cloud not answer either.
+        let workers = &self.settings.workers;
+        let haunts =
+            Span::secs(workers.report_s).times(HAUNTED_REPORTS).min(workers.hold().times(HAUNTED_HOLD));
+        let blind = renewal.is_blind_for(haunts, now);
+        for m in self.machines.values_mut().filter(|m| m.standing != Standing::Releasing) {
             let haunted = m.doubtful.keys().any(|(task, attempt)| {
                 m.entries.get(task).is_some_and(|e| {
                     e.attempt == *attempt
@@ -216,10 +228,8 @@
                         && e.stop.is_some_and(|s| now.since(s.since) > haunts)
                 })
             });
-            if lost || haunted || (self.blind && m.in_doubt()) {
-                tracing::warn!(machine = %m.id, standing = ?m.standing, tasks = m.entries.len(), "machine lost; returning it");
-                m.standing = Standing::Releasing;
-                self.blocks.remove(&m.id);
+            if haunted || blind && m.in_doubt() {
+                lose(m, &mut self.blocks);
             }
         }
     }
