A node that knows a job to be over passes no start of it on; the world looks closely

The relaying node now takes starts of jobs that are over out of the command; what is left goes on, and a command of such starts alone is answered as not sent.

--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -625,6 +625,11 @@
         self.mirror.take_out(guard);
     }
 
+    /// Whether this node knows that a job is done or withdrawn.
+    pub fn knows_over(&self, job: &JobId) -> bool {
+        self.mirror.verdict(job).is_some()
+    }
+
     /// The kept sums against a recount from the ground up.
     pub fn sums_hold(&self) -> Result<(), String> {
         self.master.as_ref().map_or(Ok(()), Master::sums_hold)
--- a/crates/scheduler/src/node/core/reports.rs
+++ b/crates/scheduler/src/node/core/reports.rs
@@ -5,7 +5,7 @@
 use crate::compat;
 use crate::node::master::APART;
 use crate::types::MachineId;
-use crate::wire::workers::Order;
+use crate::wire::workers::{Order, Passed};
 use crate::workers::stop_what_is_over;
 use pearford_homes::{Ask, Relayed, RelayedCall, Turn as Whose};
 use std::collections::VecDeque;
@@ -14,7 +14,7 @@
 const PASSING: usize = 4096;
 /// Machines that orders wait for.
 const ERRANDS: usize = 10_000;
-/// Not passed on, and never will be: its leader is not the latest.
+/// Not passed on, and never will be: its leader is not the latest, or it only starts what is over.
 const NOT_SENT: u16 = 409;
 /// As one without an answer: should it come again, it may be passed on then.
 const MAY_COME: u16 = 0;
@@ -198,8 +198,14 @@
     /// way to the worker: it names session and fence, and its sender has long counted it as in doubt.
     fn pass_on(&mut self, from: &NodeName, fence: Fence, calls: Vec<RelayedCall>) {
         let mut refused = Vec::new();
-        for RelayedCall { call, addr, body, patience } in calls {
-            let late = fence < self.top_fence;
+        for RelayedCall { call, addr, mut body, patience } in calls {
+            // The leader may not know yet what this node has told a user: that a job is withdrawn.
+            let mirror = &self.mirror;
+            let passed = workers::without_starts(&body, |job| mirror.verdict(job).is_some());
+            let late = fence < self.top_fence || passed == Passed::Nothing;
+            if let Passed::Without(rest) = passed {
+                body = rest;
+            }
             if late || self.passing.calls.len() >= PASSING {
                 refused.push(Relayed { call, status: if late { NOT_SENT } else { MAY_COME }, at: None });
                 continue;
--- a/crates/scheduler/src/wire/workers.rs
+++ b/crates/scheduler/src/wire/workers.rs
@@ -1,6 +1,6 @@
 //! Workers <-> controller nodes.
 
-use crate::types::{Attempt, Fence, MachineId, NodeName, Session, TaskId, TypeName, Zone};
+use crate::types::{Attempt, Fence, JobId, MachineId, NodeName, Session, TaskId, TypeName, Zone};
 use pearford_homes::Stamped;
 use pearford_recovery::{Ending, Said};
 use serde::{Deserialize, Serialize};
@@ -194,6 +194,33 @@
     serde_json::to_string(&Command { fence, tenure: session, orders }).unwrap_or_default()
 }
 
+/// What is left of a direct command without the starts of jobs that are over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Passed {
+    AsItIs,
+    Without(String),
+    Nothing,
+}
+
+/// Takes out of a direct command the starts of jobs that `over` names.
+pub fn without_starts(body: &str, over: impl Fn(&JobId) -> bool) -> Passed {
+    if !body.contains("\"start\"") {
+        return Passed::AsItIs;
+    }
+    let Ok(mut command) = serde_json::from_str::<serde_json::Value>(body) else { return Passed::AsItIs };
+    let Some(orders) = command["orders"].as_array_mut() else { return Passed::AsItIs };
+    let all = orders.len();
+    orders.retain(|order| {
+        let task = order["shard"].as_str().and_then(TaskId::parse);
+        order["verb"] != "start" || !task.is_some_and(|task| over(&task.job))
+    });
+    match orders.len() {
+        0 if all > 0 => Passed::Nothing,
+        left if left < all => Passed::Without(command.to_string()),
+        _ => Passed::AsItIs,
+    }
+}
+
 /// Sends a worker to the node that leads.
 pub fn redirect(master: Option<&NodeName>) -> String {
     #[derive(Serialize)]
--- /dev/null
+++ b/crates/scheduler/src/world/looks.rs
@@ -0,0 +1,233 @@
+//! Users who look closely: at all nodes within milliseconds, with repeats and cancellations; and who ask oddly.
+
+use super::{Asker, Event, Host, Method, Stage, World, job};
+use crate::types::JobId;
+use rand::RngExt;
+use serde_json::{Value, json};
+
+/// A request beside a user's own, at one node.
+#[derive(Debug, Clone)]
+pub struct Look {
+    pub node: usize,
+    pub id: String,
+    pub ask: LookAsk,
+}
+
+#[derive(Debug, Clone)]
+pub enum LookAsk {
+    Status,
+    /// The submission again, as it was or with a fault in it.
+    Repeat(String),
+    Withdraw,
+    /// Something that can never run or lacks a field, or a question about a job that nobody submitted.
+    Never(Option<String>),
+}
+
+impl World {
+    fn count(&mut self, meeting: &'static str) {
+        *self.met.entry(meeting).or_default() += 1;
+    }
+
+    /// Sends a request; one that finds nobody is not sent again.
+    pub fn look(&mut self, look: Look) {
+        let before = self.rules.known(&look.id);
+        let (method, path, body) = match &look.ask {
+            LookAsk::Status | LookAsk::Never(None) => {
+                (Method::Get, format!("/submissions/{}", look.id), String::new())
+            }
+            LookAsk::Repeat(body) | LookAsk::Never(Some(body)) => {
+                (Method::Post, "/submissions".to_string(), body.clone())
+            }
+            LookAsk::Withdraw => {
+                self.rules.asked_to_withdraw(&look.id);
+                (Method::Post, format!("/submissions/{}/withdraw", look.id), String::new())
+            }
+        };
+        self.request(look.node, Asker::Look { look, before }, Host::User, method, path, body);
+    }
+
+    pub fn look_answer(
+        &mut self,
+        look: Look,
+        before: &super::rules::Known,
+        node: usize,
+        status: u16,
+        body: &str,
+    ) {
+        let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let phase = value["phase"].as_str().unwrap_or_default();
+        if let LookAsk::Never(asked) = &look.ask {
+            if !matches!(status, 400 | 404 | 422 | 429 | 503) {
+                let what = asked.as_ref().map_or("asked about", |_| "submitted");
+                self.rules.fail(self.now, format!("accepted: {} was {what} and got {status}", look.id));
+            }
+            return;
+        }
+        self.count(match (before.accepted, &before.verdict, &look.ask) {
+            (_, Some(_), _) => "a look after the verdict",
+            (true, None, LookAsk::Repeat(_)) => "a repeat after the acceptance",
+            (true, None, _) => "a look after the acceptance",
+            _ => "a look before any answer",
+        });
+        let was = self.rules.broken.len();
+        let repeat = matches!(look.ask, LookAsk::Repeat(_));
+        self.rules.answered(self.now, &look.id, before, repeat, status, phase);
+        if self.rules.broken.len() > was {
+            let now = self.now;
+            self.rules.fail(now, format!("(that was a look: {look:?}, answered by node {node})"));
+        }
+    }
+
+    /// Asks about a user's job at every node, twice, within milliseconds.
+    pub fn look_closely(&mut self, user: usize, _why: &str) {
+        let (id, body) = (self.users[user].id.clone(), self.users[user].body.clone());
+        for node in 0..self.nodes.len() {
+            for _ in 0..2 {
+                let ask = match self.rng.random_range(0..10) {
+                    0..3 => LookAsk::Repeat(body.to_string()),
+                    3 => LookAsk::Repeat(self.spoil(&body)),
+                    4 if self.rng.random_bool(0.2) => LookAsk::Withdraw,
+                    _ => LookAsk::Status,
+                };
+                let ms = self.rng_ms(0, 30);
+                self.after(ms, Event::Look(Look { node, id: id.clone(), ask }));
+            }
+        }
+    }
+
+    /// The same submission with a fault in it: a repeat gets the job's state whatever it says.
+    fn spoil(&mut self, body: &Value) -> String {
+        let mut body = body.clone();
+        match self.rng.random_range(0..5) {
+            0 => body["shards"] = json!(-1),
+            1 => body["owner"] = json!("nobody"),
+            2 => body["vcpus"] = json!(1e6),
+            3 => body["padding"] = json!("x".repeat(30_000)),
+            _ => {
+                let fields = body.as_object_mut().into_iter();
+                fields.for_each(|o| drop(o.remove("bundle")));
+            }
+        }
+        body.to_string()
+    }
+
+    /// A job's task has completed.
+    pub fn task_completed(&mut self, id: &str) {
+        if !self.rules.all_done(id) {
+            return;
+        }
+        let Some(user) = self.users.iter().position(|u| u.id == id) else { return };
+        if self.close_looks {
+            self.look_closely(user, "ended");
+        }
+        if self.cancel_at_end > 0.0
+            && self.users[user].stage == Stage::Polling
+            && self.rng.random_bool(self.cancel_at_end)
+        {
+            self.count("called off at the end");
+            self.call_off(user, 3);
+        }
+    }
+
+    fn call_off(&mut self, user: usize, within: u64) {
+        let at = self.now + self.rng_ms(0, within);
+        self.users[user].withdraw_at = Some(at);
+        self.at(at, Event::User(user));
+    }
+
+    pub fn cancel_now(&mut self, count: usize, hang_ms: u64) {
+        let runs = |id: &str| {
+            let at = |w: &super::workers::Worker| w.tasks.iter().any(|t| t.job() == id && t.present());
+            self.workers.iter().position(at)
+        };
+        let running: Vec<(usize, usize)> = (0..self.users.len())
+            .filter(|u| self.users[*u].stage == Stage::Polling && self.users[*u].withdraw_at.is_none())
+            .filter_map(|u| Some((u, runs(&self.users[u].id)?)))
+            .take(count)
+            .collect();
+        let mut hang = 8;
+        for (user, machine) in running {
+            self.count("called off now");
+            self.call_off(user, 200);
+            if hang_ms > 0 && hang > 0 && self.workers[machine].hung_until <= self.now {
+                hang -= 1;
+                self.count("called off and hung");
+                self.workers[machine].hung_until = self.now + hang_ms;
+            }
+        }
+    }
+
+    pub fn odd_turn(&mut self) {
+        if !self.odd {
+            return;
+        }
+        let ms = self.rng_ms(100, 400);
+        self.after(ms, Event::Odd);
+        let node = self.rng.random_range(0..self.nodes.len());
+        let accepted: Vec<usize> =
+            (0..self.users.len()).filter(|u| self.rules.accepted(&self.users[*u].id)).collect();
+        let any = (!accepted.is_empty()).then(|| accepted[self.rng.random_range(0..accepted.len())]);
+        match (self.rng.random_range(0..3), any) {
+            (0, Some(u)) => {
+                let (id, body) = (self.users[u].id.clone(), self.users[u].body.clone());
+                let ask = LookAsk::Repeat(self.spoil(&body));
+                self.look(Look { node, id, ask });
+            }
+            (1, Some(u)) if self.rules.verdict(&self.users[u].id) == Some("done") => {
+                let id = self.users[u].id.clone();
+                self.count("a cancellation of what is done");
+                self.look(Look { node, id, ask: LookAsk::Withdraw });
+            }
+            _ => {
+                self.odd_ids += 1;
+                let n = 900_000 + self.odd_ids as usize;
+                let mut body = job(n, "array", 1);
+                let id = body["id"].as_str().unwrap_or_default().to_string();
+                let asked = match self.odd_ids % 6 {
+                    0 => None,
+                    1 => Some(self.spoil(&body)).filter(|b| !b.contains("padding")),
+                    2 => {
+                        body["accelerators"] = json!(64.0);
+                        Some(body.to_string())
+                    }
+                    3 => {
+                        body["flavors"] = json!(["none-such"]);
+                        Some(body.to_string())
+                    }
+                    4 => {
+                        body["region"] = json!("nowhere");
+                        Some(body.to_string())
+                    }
+                    _ => {
+                        let shape = json!("ensemble");
+                        (body["shape"], body["shards"]) = (shape, json!(5_000));
+                        Some(body.to_string())
+                    }
+                };
+                self.count("an impossible request");
+                self.look(Look { node, id, ask: LookAsk::Never(asked) });
+            }
+        }
+    }
+
+    /// A start must not leave a node that knows its job to be over. (What had left before is allowed, and gone in time.)
+    pub fn check_orders(&mut self, node: usize, body: &str) {
+        if !body.contains("\"start\"") {
+            return;
+        }
+        let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let starts = value["orders"].as_array().into_iter().flatten().filter(|o| o["verb"] == "start");
+        let mut wrong = Vec::new();
+        for order in starts {
+            let task = order["shard"].as_str().unwrap_or_default();
+            let job = JobId::from(task.split('/').next().unwrap_or_default());
+            if self.nodes[node].core.as_ref().is_some_and(|c| c.knows_over(&job)) {
+                wrong.push(task.to_string());
+            }
+        }
+        for task in wrong {
+            self.rules
+                .fail(self.now, format!("node {node} lets a start of {task} go and knows its job is over"));
+        }
+    }
+}
--- a/crates/scheduler/src/world/mod.rs
+++ b/crates/scheduler/src/world/mod.rs
@@ -5,6 +5,7 @@
 mod cloud;
 pub mod days;
 mod gap;
+mod looks;
 mod meetings;
 mod recovery;
 mod rules;
@@ -93,6 +94,17 @@
         machine: usize,
         report: u64,
     },
+    /// A user that looks closely, or oddly, sends its request.
+    Look(looks::Look),
+    LookAnswer {
+        look: looks::Look,
+        before: rules::Known,
+        node: usize,
+        status: u16,
+        body: String,
+    },
+    /// Odd requests go on.
+    Odd,
     /// A copy of a report comes to a node.
     ReportAgain {
         machine: usize,
@@ -146,8 +158,27 @@
     LateWrites(f64),
     /// Of that share of the workers' reports a copy comes again, 2 s to two leases later.
     LateReports(f64),
+    /// That share of transactions is carried out at once, and only the answer is lost.
+    LostAnswers(f64),
+    /// Of that share of the workers' reports a copy is kept until a new leader has acted, and comes to it then.
+    CopiesForNext(f64),
     /// The state service takes up to so long for an answer.
     StateSlow(u64),
+    /// Users call off that many jobs that run and have long to go, within a fifth of a second; up to eight of their
+    /// machines hang for so long.
+    CancelNow(usize, u64),
+    /// That share of the jobs that end is called off at the moment of the end.
+    CancelAtEnd(f64),
+    /// Users ask at all nodes within milliseconds after a job was accepted, ended or called off.
+    CloseLooks(bool),
+    /// Users repeat submissions with faults in them, call off what is done, and send what can't run.
+    OddRequests(bool),
+    /// It reaches no node, while direct orders reach it.
+    MachineMute(u64),
+    /// The same of all machines there are.
+    AllMute(u64),
+    /// New machines are up within two seconds.
+    FastBoots(bool),
     MachineDies,
     MachineHangs(u64),
     /// Its reports arrive; answers and direct orders to it are lost.
@@ -185,6 +216,10 @@
         sent: u64,
         report: u64,
     },
+    Look {
+        look: looks::Look,
+        before: rules::Known,
+    },
     /// Nobody any more: a report that came again.
     Nobody,
     /// The test itself.
@@ -223,6 +258,8 @@
     pub node: Option<usize>,
     ask: u64,
     pub stage: Stage,
+    /// What users had been told of the job as the request under way was sent.
+    before: rules::Known,
     /// The last answer's status and body.
     pub told: (u16, String),
     /// When a question of its was answered last.
@@ -271,6 +308,17 @@
     pub keeps_images: bool,
     late_writes: f64,
     late_reports: f64,
+    lost_answers: f64,
+    copies_for_next: f64,
+    /// Copies of reports, and under which leader key they were made.
+    kept_copies: Vec<(Option<crate::types::Stamp>, Event)>,
+    fast_boots: bool,
+    cancel_at_end: f64,
+    close_looks: bool,
+    odd: bool,
+    odd_ids: u64,
+    /// How often each meeting took place.
+    pub met: BTreeMap<&'static str, u64>,
     state_slow: u64,
     pub rules: Rules,
     /// Orders that a report on its way would have made needless: living machines returned with work on them.
@@ -319,6 +367,15 @@
             keeps_images: false,
             late_writes: 0.0,
             late_reports: 0.0,
+            lost_answers: 0.0,
+            copies_for_next: 0.0,
+            kept_copies: Vec::new(),
+            fast_boots: false,
+            cancel_at_end: 0.0,
+            close_looks: false,
+            odd: false,
+            odd_ids: 0,
+            met: BTreeMap::new(),
             state_slow: 0,
             rules: Rules::new(settings[0].workers.cancel_s, &settings[0].teams),
             needless: Vec::new(),
@@ -419,6 +476,7 @@
                 if self.nodes[i].core.is_some() && self.nodes[i].life == life {
                     let drift = self.rng_ms(0, 4);
                     self.after(TICK + drift, Event::Tick(i, life));
+                    self.release_copies();
                     self.step(i, Input::Tick);
                 }
             }
@@ -470,6 +528,11 @@
                 self.after(1, Event::Tick(i, life));
             }
             Event::Worker(m) => self.worker_turn(m),
+            Event::Look(look) => self.look(look),
+            Event::LookAnswer { look, before, node, status, body } => {
+                self.look_answer(look, &before, node, status, &body);
+            }
+            Event::Odd => self.odd_turn(),
             Event::ReportAgain { machine, node, body } => {
                 let path = "/v1/report".to_string();
                 self.request(node, Asker::Nobody, Host::Machine(machine), Method::Post, path, body);
@@ -546,10 +609,16 @@
                     Some(Asker::User { user, ask }) => {
                         (Host::User, Event::UserAnswer { user, ask, status, body })
                     }
-                    Some(Asker::Worker { machine, session, sent, report }) => (
-                        Host::Machine(machine),
-                        Event::ReportAnswer { machine, session, sent, node: i, status, body, report },
-                    ),
+                    Some(Asker::Worker { machine, session, sent, report }) => {
+                        self.check_orders(i, &body);
+                        (
+                            Host::Machine(machine),
+                            Event::ReportAnswer { machine, session, sent, node: i, status, body, report },
+                        )
+                    }
+                    Some(Asker::Look { look, before }) => {
+                        (Host::User, Event::LookAnswer { look, before, node: i, status, body })
+                    }
                     Some(Asker::Test { tag }) => {
                         let answer = Answered { tag, node: i, status, retry_after_s, headers, body };
                         (Host::User, Event::Answered(answer))
@@ -584,6 +653,7 @@
                 self.send(host, Host::Cloud, event(request));
             }
             Effect::Worker { op, addr, body, patience } => {
+                self.check_orders(i, &body);
                 opens(&mut self.nodes[i], op);
                 self.after(patience.0, Event::Timeout { node: i, life, op, kind: Kind::Worker });
                 if let Some(m) = self.workers.iter().position(|w| w.addr == addr) {
@@ -652,6 +722,7 @@
             node: None,
             ask: 0,
             stage: Stage::Submitting,
+            before: Default::default(),
             told: Default::default(),
             answered_at: 0,
         });
@@ -678,7 +749,9 @@
         {
             return self.after(40, Event::User(u));
         }
+        let before = self.rules.known(&self.users[u].id);
         let user = &mut self.users[u];
+        user.before = before;
         user.ask += 1;
         let ask = user.ask;
         let (method, path, body) = match user.stage {
@@ -709,7 +782,8 @@
         user.told = (status, body.to_string());
         let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
         let phase = value["phase"].as_str().unwrap_or_default().to_string();
-        self.rules.answered(self.now, &user.id, user.stage == Stage::Submitting, status, &phase);
+        let submitting = user.stage == Stage::Submitting;
+        self.rules.answered(self.now, &user.id, &user.before, submitting, status, &phase);
         if matches!(status, 200 | 201 | 404) {
             user.answered_at = self.now;
         }
@@ -720,6 +794,12 @@
                 (stage, _) => stage,
             };
         }
+        let (was_told, over) = (matches!(status, 200 | 201), user.stage == Stage::Over);
+        let news = was_told && (!user.before.accepted || over && user.before.verdict.is_none());
+        if news && self.close_looks {
+            self.look_closely(u, "told");
+        }
+        let user = &self.users[u];
         let pause = match user.stage {
             // Users may ask again at any later time.
             Stage::Over => 20_000,
@@ -797,6 +877,25 @@
             }
             Fault::LateWrites(share) => self.late_writes = share,
             Fault::LateReports(share) => self.late_reports = share,
+            Fault::LostAnswers(share) => self.lost_answers = share,
+            Fault::CopiesForNext(share) => self.copies_for_next = share,
+            Fault::FastBoots(on) => self.fast_boots = on,
+            Fault::CancelAtEnd(share) => self.cancel_at_end = share,
+            Fault::CloseLooks(on) => self.close_looks = on,
+            Fault::OddRequests(on) => {
+                self.odd = on;
+                self.after(1, Event::Odd);
+            }
+            Fault::CancelNow(count, hang_ms) => self.cancel_now(count, hang_ms),
+            Fault::MachineMute(ms) => {
+                if let Some(m) = self.any_machine(|_| true) {
+                    self.workers[m].muted_until = self.now + ms;
+                }
+            }
+            Fault::AllMute(ms) => {
+                let until = self.now + ms;
+                self.workers.iter_mut().filter(|w| w.up).for_each(|w| w.muted_until = until);
+            }
             Fault::StateSlow(ms) => self.state_slow = ms,
             Fault::MachineDeaf(ms) => {
                 if let Some(m) = self.any_machine(|_| true) {
--- a/crates/scheduler/src/world/rules.rs
+++ b/crates/scheduler/src/world/rules.rs
@@ -7,6 +7,13 @@
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// What users had been told of a job by some moment.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Known {
+    pub accepted: bool,
+    pub verdict: Option<String>,
+}
+
 #[derive(Debug, Default)]
 struct Told {
     accepted: bool,
@@ -93,7 +100,7 @@
         seen
     }
 
-    fn fail(&mut self, now: u64, what: String) {
+    pub fn fail(&mut self, now: u64, what: String) {
         self.broken.push(format!("at {now} ms: {what}"));
     }
 
@@ -146,8 +153,22 @@
         }
     }
 
-    /// An answer reached its user.
-    pub fn answered(&mut self, now: u64, id: &str, submitting: bool, status: u16, phase: &str) {
+    pub fn known(&self, id: &str) -> Known {
+        let told = self.told.get(id);
+        told.map_or(Known::default(), |t| Known { accepted: t.accepted, verdict: t.verdict.clone() })
+    }
+
+    /// An answer reached its user. `before`: what users had been told as the request was sent; of two answers to
+    /// requests that overlapped, either may come first.
+    pub fn answered(
+        &mut self,
+        now: u64,
+        id: &str,
+        before: &Known,
+        submitting: bool,
+        status: u16,
+        phase: &str,
+    ) {
         let all_done = self.all_done(id);
         let line: Vec<&Told> = self.line(id).iter().filter_map(|j| self.told.get(j)).collect();
         let withdraw_asked = line.iter().any(|t| t.withdraw_asked);
@@ -163,7 +184,8 @@
             }
             200 | 201 => {
                 t.accepted = true;
-                if let Some(v) = &t.verdict
+                let last = matches!(phase, "done" | "withdrawn");
+                if let Some(v) = if last { &t.verdict } else { &before.verdict }
                     && v != phase
                 {
                     bad.push(format!("went_back: {id} was {v}, is now {phase}"));
@@ -184,8 +206,8 @@
                     }
                 }
             }
-            404 if t.accepted => bad.push(format!("forgotten: {id} got 404")),
-            400 | 422 if t.accepted && submitting => bad.push(format!("forgotten: {id} got {status}")),
+            404 if before.accepted => bad.push(format!("forgotten: {id} got 404")),
+            400 | 422 if before.accepted && submitting => bad.push(format!("forgotten: {id} got {status}")),
             _ => {}
         }
         bad.into_iter().for_each(|b| self.fail(now, b));
@@ -211,7 +233,7 @@
             let owner = body["owner"].as_str().unwrap_or_default().to_string();
             *used.entry(owner).or_default() += body["accelerators"].as_f64().unwrap_or(0.0);
             let told = self.rules.told.get(t.job()).and_then(|t| t.withdrawn_at);
-            if told.is_some_and(|at| self.now > at + self.rules.cancel_ms) && w.hung_until <= self.now {
+            if told.is_some_and(|at| self.now > at + self.rules.cancel_ms) {
                 late.push(format!("ran_cancelled: {} on {}", t.name, w.id));
             }
         }
--- a/crates/scheduler/src/world/state.rs
+++ b/crates/scheduler/src/world/state.rs
@@ -239,8 +239,15 @@
             let ms = self.rng_ms(2_000, 12_000);
             return self.after(ms, Event::LateWrite(request));
         }
+        let lost = self.lost_answers > 0.0
+            && matches!(request, StateRequest::Commit { .. })
+            && self.rng.random_bool(self.lost_answers);
         let answer = self.state.answer(request, now);
-        self.reply(from, life, op, answer, aside);
+        if lost {
+            *self.met.entry("only the answer lost").or_default() += 1;
+        } else {
+            self.reply(from, life, op, answer, aside);
+        }
         self.changed();
     }
 
--- a/crates/scheduler/src/world/workers.rs
+++ b/crates/scheduler/src/world/workers.rs
@@ -46,6 +46,8 @@
     pub hung_until: u64,
     /// Answers and direct orders are lost until then.
     pub deaf_until: u64,
+    /// It reaches no node until then; direct orders reach it.
+    pub muted_until: u64,
     pub taken_at: Option<u64>,
     session: u64,
     session_began: u64,
@@ -104,7 +106,7 @@
 impl World {
     pub fn add_worker(&mut self, listed: &ListedMachine) {
         let never = self.rng.random_bool(0.03);
-        let boots_at = self.now + if never { 10_000_000 } else { self.rng_ms(500, 6000) };
+        let boots_at = self.now + if never { 10_000_000 } else { self.boots_in() };
         self.workers.push(Worker {
             id: listed.id.clone(),
             addr: listed.addr.clone().unwrap_or_default(),
@@ -115,6 +117,7 @@
             up: false,
             hung_until: 0,
             deaf_until: 0,
+            muted_until: 0,
             taken_at: None,
             session: 1,
             session_began: boots_at,
@@ -177,6 +180,8 @@
         if hung {
             return;
         }
+        // Before a worker that resumes looks at its lease.
+        self.check_present();
         let w = &mut self.workers[m];
         let last = w.answered_sent.max(w.session_began);
         if now > last + lease {
@@ -200,8 +205,16 @@
                 let (node, body) = (self.rng.random_range(0..self.settings.len()), body.clone());
                 self.after(ms, Event::ReportAgain { machine: m, node, body });
             }
+            if self.copies_for_next > 0.0 && self.rng.random_bool(self.copies_for_next) {
+                let key = self.state.stamp(crate::leader::KEY);
+                let copy = Event::ReportAgain { machine: m, node, body: body.clone() };
+                self.kept_copies.push((key, copy));
+            }
             let path = "/v1/report".to_string();
-            if self.request(node, asker, Host::Machine(m), Method::Post, path, body) {
+            if self.workers[m].muted_until > now {
+                *self.met.entry("mute").or_default() += 1;
+                self.next_node(m, 1000);
+            } else if self.request(node, asker, Host::Machine(m), Method::Post, path, body) {
                 self.after(4000, Event::ReportTimeout { machine: m, report });
             } else {
                 self.next_node(m, 1000);
@@ -209,6 +222,28 @@
         }
     }
 
+    fn boots_in(&mut self) -> u64 {
+        if self.fast_boots { self.rng_ms(100, 2_000) } else { self.rng_ms(500, 6000) }
+    }
+
+    /// Copies of reports that wait for the next leader come to it once it has acted.
+    pub fn release_copies(&mut self) {
+        if self.kept_copies.is_empty() {
+            return;
+        }
+        let Some(leader) = self.leader() else { return };
+        let key = self.state.stamp(crate::leader::KEY);
+        let (out, keep): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.kept_copies).into_iter().partition(|(made, _)| *made != key);
+        self.kept_copies = keep;
+        for (_, event) in out {
+            let Event::ReportAgain { machine, body, .. } = event else { continue };
+            *self.met.entry("copy for the next leader").or_default() += 1;
+            let ms = self.rng_ms(100, 6_000);
+            self.after(ms, Event::ReportAgain { machine, node: leader, body });
+        }
+    }
+
     fn next_node(&mut self, m: usize, pause: u64) {
         let nodes = self.settings.len();
         let w = &mut self.workers[m];
@@ -356,6 +391,10 @@
         let fetch = if has { 0 } else { fetch };
         let state = match refuse {
             Some(cause) => State::Exited { cause, kept: false },
+            None if self.rules.known(&job).verdict.as_deref() == Some("withdrawn") => {
+                *self.met.entry("start after a confirmed cancellation").or_default() += 1;
+                State::Fetching { until: now + fetch }
+            }
             None => State::Fetching { until: now + fetch },
         };
         self.workers[m].tasks.push(Task { name, attempt, state, at: now });
@@ -422,6 +461,7 @@
                         Some(State::Exited { cause: "peers", kept: false })
                     } else if spent >= *left {
                         self.rules.completes(&t.name, gang);
+                        self.task_completed(t.job());
                         Some(State::Exited { cause: "done", kept: false })
                     } else {
                         let _ = kept;
