--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -621,6 +621,32 @@
         self.master.iter_mut().for_each(Master::sabotage_done_early);
     }
 
+    pub fn sabotage_free_cancelled(&mut self) {
+        let now = self.now;
+        self.master.iter_mut().for_each(|m| m.sabotage_free_cancelled(now));
+    }
+
+    pub fn sabotage_start_early(&mut self) {
+        self.master.iter_mut().for_each(Master::sabotage_start_early);
+    }
+
+    pub fn sabotage_keep_silent(&mut self) {
+        let now = self.now;
+        self.master.iter_mut().for_each(|m| m.sabotage_keep_silent(now));
+    }
+
+    pub fn sabotage_no_stops(&mut self) {
+        self.master.iter_mut().for_each(Master::sabotage_no_stops);
+    }
+
+    pub fn sabotage_any_serial(&mut self) {
+        self.master.iter_mut().for_each(Master::sabotage_any_serial);
+    }
+
+    pub fn sabotage_any_zone(&mut self) {
+        self.master.iter_mut().for_each(Master::sabotage_any_zone);
+    }
+
     pub fn sabotage_graph(&mut self, guard: jobs::graph::Guard) {
         self.mirror.take_out(guard);
     }
--- a/crates/scheduler/src/node/core/reports.rs
+++ b/crates/scheduler/src/node/core/reports.rs
@@ -40,6 +40,9 @@
     errands: BTreeMap<MachineId, (Fence, Vec<Order>)>,
     /// Reports that came while no leader was known, in their order.
     parked: VecDeque<(Time, OpId, Report)>,
+    /// Guard out: starts of what is over are passed on.
+    #[cfg(any(test, feature = "world"))]
+    passes_all: bool,
 }
 
 impl Core {
@@ -202,6 +205,8 @@
             // The leader may not know yet what this node has told a user: that a job is withdrawn.
             let mirror = &self.mirror;
             let passed = workers::without_starts(&body, |job| mirror.verdict(job).is_some());
+            #[cfg(any(test, feature = "world"))]
+            let passed = if self.passing.passes_all { Passed::AsItIs } else { passed };
             let late = fence < self.top_fence || passed == Passed::Nothing;
             if let Passed::Without(rest) = passed {
                 body = rest;
@@ -259,3 +264,17 @@
         }
     }
 }
+
+/// Guards taken out, for proving that the test world's checker notices.
+#[cfg(any(test, feature = "world"))]
+impl Core {
+    pub fn sabotage_pass_all(&mut self) {
+        self.passing.passes_all = true;
+    }
+
+    /// Requests are answered from memory, without the read that they wait for.
+    pub fn sabotage_stale(&mut self) {
+        self.desk.read_begins();
+        self.read_ends(true);
+    }
+}
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -604,6 +604,62 @@
         self.gathering.heard(1, 1, self.since);
     }
 
+    /// What is to stop makes room for its team at once, without a proof that it is gone.
+    pub(super) fn sabotage_free_cancelled(&mut self, now: Time) {
+        let mut gone = Vec::new();
+        for m in self.machines.values_mut() {
+            let (stopping, stay) =
+                std::mem::take(&mut m.entries).into_iter().partition(|(_, e)| e.stop.is_some());
+            m.entries = stay;
+            let stopping: BTreeMap<TaskId, Entry> = stopping;
+            gone.extend(stopping.into_keys().map(|task| (task, m.id.clone())));
+            m.recount(&mut self.used, now);
+        }
+        for (task, machine) in gone {
+            if let Some(run) = self.runs.get_mut(&task.job) {
+                run.unplace(task.index, &machine);
+            }
+            self.room_version += 1;
+        }
+    }
+
+    /// Starts leave before their machine's record is durable.
+    pub(super) fn sabotage_start_early(&mut self) {
+        for m in self.machines.values_mut() {
+            let planned = m.entries.values_mut().filter(|e| e.state == EntryState::Planned);
+            planned.for_each(|e| e.state = EntryState::Ready);
+            if m.has_starts() {
+                self.to_direct.insert(m.id.clone());
+            }
+        }
+    }
+
+    /// Nothing is ever to be stopped.
+    pub(super) fn sabotage_no_stops(&mut self) {
+        self.machines.values_mut().flat_map(|m| m.entries.values_mut()).for_each(|e| e.stop = None);
+    }
+
+    /// No machine ever counts as silent.
+    pub(super) fn sabotage_keep_silent(&mut self, now: Time) {
+        for m in self.machines.values_mut().filter(|m| m.last_report.is_some()) {
+            (m.last_report, m.unanswered) = (Some(now), 0);
+        }
+    }
+
+    /// The newest report is whichever came last.
+    pub(super) fn sabotage_any_serial(&mut self) {
+        self.machines.values_mut().for_each(|m| (m.session, m.serial) = (Session(0), 1));
+    }
+
+    /// Jobs bound to a zone go anywhere.
+    pub(super) fn sabotage_any_zone(&mut self) {
+        for run in self.runs.values_mut().filter(|run| run.job.spec.zone.is_some()) {
+            let mut job = (*run.job).clone();
+            job.spec.zone = None;
+            run.job = Arc::new(job);
+        }
+    }
+
     pub(super) fn sabotage_done_early(&mut self) {
         for run in self.runs.values_mut().filter(|r| r.done().count() * 2 >= r.job.spec.tasks) {
             if run.done().count() > 0 {
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -71,6 +71,12 @@
     blocks.remove(&m.id);
 }
 
+/// Since when a machine is to stop a task of a job that is over, if it is and has not said that it did.
+fn over_since(m: &Machine, runs: &BTreeMap<JobId, Run>) -> Option<Time> {
+    let stopping = m.entries.iter().filter_map(|(task, e)| Some((task, e.stop?.since)));
+    stopping.filter(|(task, _)| !runs.contains_key(&task.job)).map(|(_, since)| since).min()
+}
+
 impl Master {
     // ---- watching the fleet ----
 
@@ -170,8 +176,22 @@
         let may_give_up = self.gathering.may_give_up(now);
         let words_came = now.since(self.since) >= WORDS_COME;
         let gives_up = self.gathering.allows(Act::GiveUp);
+        let haunts = self.haunts();
         for m in self.machines.values_mut() {
+            let over = over_since(m, &self.runs);
             let lost = match (m.standing, m.last_report) {
+                // Nobody may have it: what is withdrawn must be gone in time, also from a machine that hangs, and each
+                // leader counts its silence anew (seven of 500 seeds with a leader every ten seconds). In a cut zone
+                // leases end in time by what its nodes may renew, but a machine that hangs there is not told apart.
+                (Standing::Up, Some(_))
+                    if m.unanswered >= PROBES_LOST
+                        && over.is_some_and(|at| {
+                            let waited = now.since(at);
+                            waited >= report && !cut.contains(&m.zone) || waited > haunts
+                        }) =>
+                {
+                    gives_up
+                }
                 // A node in there answers its workers: their leases live on, and nothing follows from this silence.
                 (Standing::Up, Some(_)) if cut.contains(&m.zone) && alive.contains(&m.zone) => {
                     m.unanswered = 0;
@@ -212,13 +232,17 @@
         }
     }
 
+    /// How long what is withdrawn may go without a proof that it is stopped: with a lease to run out after it, should
+    /// the cloud not answer either.
+    fn haunts(&self) -> Span {
+        let workers = &self.settings.workers;
+        Span::secs(workers.report_s).times(HAUNTED_REPORTS).min(workers.hold().times(HAUNTED_HOLD))
+    }
+
     /// A start that may still act can't be stopped before it does; the cloud can prove it gone, long before a
     /// withdrawal's time is up. Nor can a leader that has not seen the job records for as long know what is withdrawn.
     pub(super) fn find_haunted(&mut self, renewal: &Renewal, now: Time) {
-        // With a lease to run out after it, should the cloud not answer either.
-        let workers = &self.settings.workers;
-        let haunts =
-            Span::secs(workers.report_s).times(HAUNTED_REPORTS).min(workers.hold().times(HAUNTED_HOLD));
+        let haunts = self.haunts();
         let blind = renewal.is_blind_for(haunts, now);
         for m in self.machines.values_mut().filter(|m| m.standing != Standing::Releasing) {
             let haunted = m.doubtful.keys().any(|(task, attempt)| {
@@ -252,18 +276,23 @@
     pub(super) fn silent_workers(&mut self, now: Time) -> Vec<(MachineId, String, String)> {
         let late = Span::secs(self.settings.workers.report_s).times(PROBE_AFTER_REPORTS);
         let asked: BTreeSet<&MachineId> = self.probes.values().collect();
+        // Those first that are to stop what is over, and at once if this leader has not heard them.
+        let over = |m: &Machine| over_since(m, &self.runs).is_some();
         let silent = self.machines.values().filter(|m| {
             m.standing == Standing::Up
-                && m.last_report
-                    .is_some_and(|at| now.since(at) > late || self.is_to_be_asked(m, at, late, now))
+                && m.last_report.is_some_and(|at| {
+                    now.since(at) > late || self.is_to_be_asked(m, at, late, now) || !m.heard() && over(m)
+                })
                 && !asked.contains(&m.id)
         });
+        let mut silent: Vec<&Machine> = silent.collect();
+        silent.sort_by_cached_key(|m| !over(m));
         let most = PROBES_AT_ONCE.max(self.machines.len() / PROBES_PART).saturating_sub(asked.len());
         let question = |m: &Machine| {
             let body = workers::command(self.fence, m.session.max(m.push_session), &[]);
             m.addr.clone().map(|addr| (m.id.clone(), addr, body))
         };
-        silent.filter_map(question).take(most).collect()
+        silent.into_iter().filter_map(question).take(most).collect()
     }
 
     /// Whether a worker is asked between its reports: where they come seldom, replicas that should start at once would
--- a/crates/scheduler/src/world/looks.rs
+++ b/crates/scheduler/src/world/looks.rs
@@ -24,10 +24,27 @@
 }
 
 impl World {
-    fn count(&mut self, meeting: &'static str) {
+    pub fn count(&mut self, meeting: &'static str) {
         *self.met.entry(meeting).or_default() += 1;
     }
 
+    /// Notes whose leadership this is.
+    pub fn note_leader(&mut self) {
+        let key = self.state.stamp(crate::leader::KEY);
+        if key.is_some() && self.led_by.0 != key {
+            self.led_by = (key, self.now);
+            self.count("a new leader");
+        }
+    }
+
+    /// A user was told that its job is accepted, or `over`.
+    pub fn note_news(&mut self, over: bool) {
+        self.count(if over { "told the verdict" } else { "accepted" });
+        if over && self.now - self.led_by.1 < 2_000 {
+            self.count("a verdict within two seconds of a new leader");
+        }
+    }
+
     /// Sends a request; one that finds nobody is not sent again.
     pub fn look(&mut self, look: Look) {
         let before = self.rules.known(&look.id);
--- a/crates/scheduler/src/world/meetings.rs
+++ b/crates/scheduler/src/world/meetings.rs
@@ -136,7 +136,7 @@
 }
 
 /// Every job that was accepted is answered for, and its record is there.
-fn nobody_forgotten(w: &World) -> Option<String> {
+pub(super) fn nobody_forgotten(w: &World) -> Option<String> {
     let accepted = w.users.iter().filter(|u| w.rules.accepted(&u.id));
     let mut wrong = accepted.filter_map(|u| {
         let silent = DAY_ENDS.saturating_sub(u.answered_at.max(TROUBLE_ENDS));
--- a/crates/scheduler/src/world/mod.rs
+++ b/crates/scheduler/src/world/mod.rs
@@ -4,6 +4,7 @@
 
 mod cloud;
 pub mod days;
+mod directed;
 mod gap;
 mod looks;
 mod meetings;
@@ -11,6 +12,7 @@
 mod rules;
 mod state;
 mod tests;
+mod waiting;
 mod workers;
 
 use crate::feature::{Call, Feature};
@@ -319,6 +321,8 @@
     odd_ids: u64,
     /// How often each meeting took place.
     pub met: BTreeMap<&'static str, u64>,
+    /// The leader key's version, and since when it has had that.
+    led_by: (Option<crate::types::Stamp>, u64),
     state_slow: u64,
     pub rules: Rules,
     /// Orders that a report on its way would have made needless: living machines returned with work on them.
@@ -376,6 +380,7 @@
             odd: false,
             odd_ids: 0,
             met: BTreeMap::new(),
+            led_by: (None, 0),
             state_slow: 0,
             rules: Rules::new(settings[0].workers.cancel_s, &settings[0].teams),
             needless: Vec::new(),
@@ -476,6 +481,7 @@
                 if self.nodes[i].core.is_some() && self.nodes[i].life == life {
                     let drift = self.rng_ms(0, 4);
                     self.after(TICK + drift, Event::Tick(i, life));
+                    self.note_leader();
                     self.release_copies();
                     self.step(i, Input::Tick);
                 }
@@ -796,6 +802,9 @@
         }
         let (was_told, over) = (matches!(status, 200 | 201), user.stage == Stage::Over);
         let news = was_told && (!user.before.accepted || over && user.before.verdict.is_none());
+        if news {
+            self.note_news(over);
+        }
         if news && self.close_looks {
             self.look_closely(u, "told");
         }
--- a/crates/scheduler/src/world/rules.rs
+++ b/crates/scheduler/src/world/rules.rs
@@ -216,6 +216,10 @@
     pub fn verdict(&self, id: &str) -> Option<&str> {
         self.told.get(id).and_then(|t| t.verdict.as_deref())
     }
+    /// Accelerators that a team may take.
+    pub fn limit(&self, team: &str) -> f64 {
+        self.limits.get(team).copied().unwrap_or(0.0)
+    }
     pub fn accepted(&self, id: &str) -> bool {
         self.told.get(id).is_some_and(|t| t.accepted)
     }
--- a/crates/scheduler/src/world/tests.rs
+++ b/crates/scheduler/src/world/tests.rs
@@ -34,10 +34,17 @@
     w.run_until(DAY_ENDS);
     assert!(w.rules.broken.is_empty(), "seed {seed}: {:?}", w.rules.broken);
     assert!(w.rules.started > 0, "seed {seed}: nothing ran");
-    // Printed when an assertion below fails.
+    // Printed when the assertion below fails.
     for node in w.nodes.iter().filter_map(|n| n.core.as_ref()) {
         println!("seed {seed}: waiting: {}\n{}", node.waiting_report(), node.metrics());
     }
+    let wrong = judged(&w);
+    assert!(wrong.is_none(), "seed {seed}: {wrong:?}");
+    w
+}
+
+/// What is wrong at a day's end: jobs that are not done, services that lack replicas.
+pub(super) fn judged(w: &World) -> Option<String> {
     let open: Vec<&str> = w
         .users
         .iter()
@@ -45,12 +52,15 @@
         .filter(|u| w.rules.verdict(&u.id).is_none())
         .map(|u| u.id.as_str())
         .collect();
-    assert!(open.is_empty(), "seed {seed}: not done long after the last trouble: {open:?}");
-    for u in w.users.iter().filter(|u| u.body["shape"] == "daemon" && u.stage == Stage::Polling) {
-        let up = w.workers.iter().flat_map(|w| &w.tasks).filter(|t| t.job() == u.id && t.present()).count();
-        assert_eq!(up as u64, u.body["shards"].as_u64().unwrap_or(0), "seed {seed}: {} lacks replicas", u.id);
+    if !open.is_empty() {
+        return Some(format!("not done long after the last trouble: {open:?}"));
     }
-    w
+    let services = w.users.iter().filter(|u| u.body["shape"] == "daemon" && u.stage == Stage::Polling);
+    let mut lacking = services.filter(|u| {
+        let up = w.workers.iter().flat_map(|w| &w.tasks).filter(|t| t.job() == u.id && t.present()).count();
+        up as u64 != u.body["shards"].as_u64().unwrap_or(0)
+    });
+    lacking.next().map(|u| format!("{} lacks replicas", u.id))
 }
 
 #[test]
@@ -184,7 +194,7 @@
 }
 
 /// Cuts (or mends) a zone off from everything else.
-fn cut_zone(w: &mut World, zone: usize, on: bool) {
+pub(super) fn cut_zone(w: &mut World, zone: usize, on: bool) {
     divide(w, zone, &[Host::State, Host::Cloud, Host::User], on, false);
 }
 
--- a/crates/scheduler/src/world/workers.rs
+++ b/crates/scheduler/src/world/workers.rs
@@ -70,7 +70,16 @@
 const HANGOVER: u64 = 6_000;
 
 impl Worker {
-    fn on_room(&self, body: impl Fn(&str) -> Option<Value>) -> (f64, f64) {
+    /// Its processors and accelerators.
+    pub fn room(&self) -> (f64, f64) {
+        match self.type_name.as_str() {
+            "small" => (8.0, 2.0),
+            _ => (16.0, 4.0),
+        }
+    }
+
+    /// What its tasks take, those that are still to fetch too: processors and accelerators.
+    pub fn on_room(&self, body: impl Fn(&str) -> Option<Value>) -> (f64, f64) {
         self.tasks.iter().filter(|t| !matches!(t.state, State::Exited { .. })).fold(
             (0.0, 0.0),
             |(c, g), t| {
@@ -139,6 +148,11 @@
     }
 
     pub fn machine_ends(&mut self, m: usize) {
+        let bound =
+            |t: &Task| t.present() && self.rules.body(t.job()).is_some_and(|b| !b["region"].is_null());
+        if self.workers[m].tasks.iter().any(bound) {
+            self.count("a machine lost with tasks bound to its zone");
+        }
         let w = &mut self.workers[m];
         w.up = false;
         w.boots_at = u64::MAX;
@@ -238,6 +252,14 @@
         self.kept_copies = keep;
         for (_, event) in out {
             let Event::ReportAgain { machine, body, .. } = event else { continue };
+            if self.rng.random_bool(0.5) {
+                *self.met.entry("copy to every node as a leader begins").or_default() += 1;
+                for node in 0..self.nodes.len() {
+                    let ms = self.rng_ms(1, 100);
+                    self.after(ms, Event::ReportAgain { machine, node, body: body.clone() });
+                }
+                continue;
+            }
             *self.met.entry("copy for the next leader").or_default() += 1;
             let ms = self.rng_ms(100, 6_000);
             self.after(ms, Event::ReportAgain { machine, node: leader, body });
@@ -319,6 +341,9 @@
         let fence = value["fence"].as_u64().unwrap_or(0);
         let ok = fence >= w.fence && value["tenure"].as_u64() == Some(w.session);
         if ok {
+            if w.muted_until > self.now && body.contains("\"start\"") {
+                *self.met.entry("a direct start at a mute machine").or_default() += 1;
+            }
             if fence > w.fence {
                 w.next_report = self.now;
             }
@@ -363,10 +388,7 @@
     fn start(&mut self, m: usize, name: String, attempt: u64) {
         let now = self.now;
         let job = name.split('/').next().unwrap_or_default().to_string();
-        let room = match self.workers[m].type_name.as_str() {
-            "small" => (8.0, 2.0),
-            _ => (16.0, 4.0),
-        };
+        let room = self.workers[m].room();
         let (cpus, gpus) = self.workers[m].on_room(|j| self.rules.body(j));
         let body = self.rules.body(&job);
         let refuse = match &body {
@@ -385,6 +407,9 @@
                 over.then_some("no_room")
             }
         };
+        if now < self.workers[m].boots_at + 3_000 {
+            self.count("a start within three seconds of the boot");
+        }
         let fetch = self.rng_ms(200, 2500);
         let image = body.as_ref().and_then(|b| b["bundle"].as_str()).unwrap_or_default().to_string();
         let has = !self.workers[m].images.insert(image) && self.keeps_images;
