--- a/crates/scheduler/src/world/meetings.rs
+++ b/crates/scheduler/src/world/meetings.rs
@@ -26,9 +26,18 @@
     Deaf,
     Slow,
     RefusedThenAway,
+    AllAway,
+    CalledOffNow,
+    CalledOffAtEnd,
+    Mute,
+    OddRequests,
+    CloseLooks,
+    LostAnswers,
+    CopiesForNext,
+    FastBoots,
 }
 
-const ALL: [Trouble; 9] = [
+const ALL: [Trouble; 18] = [
     Trouble::HeldOrders,
     Trouble::LateWrites,
     Trouble::LateReports,
@@ -38,6 +47,15 @@
     Trouble::Deaf,
     Trouble::Slow,
     Trouble::RefusedThenAway,
+    Trouble::AllAway,
+    Trouble::CalledOffNow,
+    Trouble::CalledOffAtEnd,
+    Trouble::Mute,
+    Trouble::OddRequests,
+    Trouble::CloseLooks,
+    Trouble::LostAnswers,
+    Trouble::CopiesForNext,
+    Trouble::FastBoots,
 ];
 
 /// Brings a trouble about from `from` to `to` at the latest.
@@ -90,6 +108,53 @@
             w.at(from, fault(Fault::StateSlow(ms)));
             w.at(to, fault(Fault::StateSlow(0)));
         }
+        Trouble::AllAway => {
+            let every = w.rng.random_range(2_000..4_000);
+            let until = to.min(from + 22_000);
+            for at in (from..until).step_by(every) {
+                (0..NODES).for_each(|i| w.at(at + i as u64, fault(Fault::Crash(i))));
+            }
+        }
+        Trouble::CalledOffNow => {
+            for _ in 0..2 {
+                let at = w.rng_ms(from, to);
+                let (count, hang) = (w.rng.random_range(2..8), w.rng.random_range(0..30_000));
+                w.at(at, fault(Fault::CancelNow(count, hang.min(TROUBLE_ENDS - at))));
+            }
+        }
+        Trouble::CalledOffAtEnd => {
+            w.at(from, fault(Fault::CancelAtEnd(0.5)));
+            w.at(to, fault(Fault::CancelAtEnd(0.0)));
+        }
+        Trouble::Mute => {
+            for n in 0..4 {
+                let at = w.rng_ms(from, to);
+                let ms = w.rng.random_range(2_000..40_000).min(TROUBLE_ENDS - at);
+                w.at(at, fault(if n == 0 { Fault::AllMute(ms) } else { Fault::MachineMute(ms) }));
+            }
+        }
+        Trouble::OddRequests => {
+            w.at(from, fault(Fault::OddRequests(true)));
+            w.at(to, fault(Fault::OddRequests(false)));
+        }
+        Trouble::CloseLooks => {
+            w.at(from, fault(Fault::CloseLooks(true)));
+            w.at(to, fault(Fault::CloseLooks(false)));
+        }
+        Trouble::LostAnswers => {
+            let share = w.rng.random_range(0.1..0.5);
+            w.at(from, fault(Fault::LostAnswers(share)));
+            w.at(to, fault(Fault::LostAnswers(0.0)));
+        }
+        Trouble::CopiesForNext => {
+            let share = w.rng.random_range(0.2..0.6);
+            w.at(from, fault(Fault::CopiesForNext(share)));
+            w.at(to, fault(Fault::CopiesForNext(0.0)));
+        }
+        Trouble::FastBoots => {
+            w.at(from, fault(Fault::FastBoots(true)));
+            w.at(to, fault(Fault::FastBoots(false)));
+        }
         Trouble::RefusedThenAway => {
             w.at(from, fault(Fault::Leader(Leader::Refused, 9_000)));
             let down = from + w.rng_ms(500, 8_000);
