--- a/crates/scheduler/src/jobs/mod.rs
+++ b/crates/scheduler/src/jobs/mod.rs
@@ -80,6 +80,10 @@
     UnknownTeam(TeamName),
     #[error("a task fits no allowed machine type; ask for less or allow other flavors or regions")]
     FitsNowhere,
+    #[error(
+        "spread: at most half of the tasks may be in one zone, and all have to be in the same; drop `together`, `region` or `spread`"
+    )]
+    SpreadNowhere,
     #[error("the job needs more than the limit of its team `{0}`; ask for less")]
     OverLimit(TeamName),
     #[error("awaits: `{0}` was never accepted; name jobs only once they are")]
@@ -123,6 +127,10 @@
         if over(team.max_gpus, self.room.gpus) || over(team.max_cpus, self.room.cpus) {
             return Err(Never::OverLimit(self.team.clone()));
         }
+        let zones = if self.together || self.zone.is_some() { 1 } else { settings.zones.len() as u32 };
+        if self.shape != Shape::Array && zones.saturating_mul(self.zone_cap()) < self.tasks {
+            return Err(Never::SpreadNowhere);
+        }
         Ok(())
     }
 }
--- a/crates/scheduler/src/world/mod.rs
+++ b/crates/scheduler/src/world/mod.rs
@@ -5,6 +5,7 @@
 mod cloud;
 pub mod days;
 mod directed;
+mod fields;
 mod gap;
 mod looks;
 mod meetings;
