Records that can't be read are neither unknown nor over; a machine with one is returned first

Such a job gets 503 with its key, nothing of it is stopped, and it goes on once its record can be read. Nothing starts until the cloud has confirmed the return of a machine whose record can't be read. Records that say the impossible count as unreadable. Messages of strangers are counted (pearford_peer_messages_dropped); pearford_records_unreadable.

--- a/crates/scheduler/src/jobs/mod.rs
+++ b/crates/scheduler/src/jobs/mod.rs
@@ -171,6 +171,13 @@
         }
         .unwrap_or_default()
     }
+    /// Whether a node can have stored it.
+    fn is_possible(&self) -> bool {
+        let Record::Open(job) = self else { return true };
+        let (spec, amount) = (&job.spec, |v: f64| (0.0..=1e12).contains(&v));
+        let room = [spec.room.cpus, spec.room.gpus, spec.room.memory_gb, spec.image_gb];
+        (1..=crate::wire::users::MAX_TASKS).contains(&u64::from(spec.tasks)) && room.into_iter().all(amount)
+    }
     pub fn is_open(&self) -> bool {
         matches!(self, Record::Open(_))
     }
@@ -214,6 +221,8 @@
     /// Ids whose records changed since the last `take_changed`, or for whom others' records change
     /// something: free to run, withdrawn, or of another priority.
     changed: Vec<JobId>,
+    /// Jobs whose record can't be read, and its version.
+    bad: BTreeMap<JobId, Stamp>,
     /// As the version before dependencies does.
     #[cfg(any(test, feature = "world"))]
     pub(crate) skip_dependent: bool,
@@ -272,6 +281,9 @@
 
     /// Takes in a record read or written; older ones than the known one are ignored.
     pub fn learn(&mut self, id: JobId, stamp: Stamp, record: Record) {
+        if self.bad.get(&id).is_some_and(|bad| *bad < stamp) {
+            self.bad.remove(&id);
+        }
         match self.jobs.get(&id) {
             // A terminal verdict is final: no late answer may reopen it.
             Some(known) if known.stamp >= stamp || !known.record.is_open() => {}
@@ -297,11 +309,31 @@
             return;
         }
         match serde_json::from_str(&pair.value) {
-            Ok(record) => self.learn(id.into(), pair.stamp, record),
-            Err(error) => tracing::error!(key = pair.key, %error, "job record can't be read; skipped"),
+            Ok(record) if Record::is_possible(&record) => self.learn(id.into(), pair.stamp, record),
+            Ok(_) => self.cannot_read(pair, "says what nobody can have stored"),
+            Err(error) => self.cannot_read(pair, &error.to_string()),
+        }
+    }
+
+    /// Not guessed at: the job is neither open nor over for this node, and not unknown either, until its key holds a
+    /// record again that can be read.
+    fn cannot_read(&mut self, pair: &Pair, why: &str) {
+        let id: JobId = pair.key[PREFIX.len()..].into();
+        if self.bad.insert(id, pair.stamp) != Some(pair.stamp) {
+            tracing::error!(key = pair.key, why, "job record can't be read; put a right one there");
         }
     }
 
+    /// Whether the job's record can't be read.
+    pub fn is_unreadable(&self, id: &JobId) -> bool {
+        self.bad.contains_key(id) && self.verdict(id).is_none()
+    }
+
+    /// Records that can't be read.
+    pub fn unreadable(&self) -> usize {
+        self.bad.len()
+    }
+
     pub fn learn_events(&mut self, epoch: u64, events: &[Event]) {
         for event in events {
             if let Event::Put(pair) = event {
--- a/crates/scheduler/src/ledger/mod.rs
+++ b/crates/scheduler/src/ledger/mod.rs
@@ -156,6 +156,14 @@
 }
 
 impl MachineRecord {
+    /// Whether a leader can have stored it.
+    pub fn is_possible(&self) -> bool {
+        let amount = |v: f64| (0.0..=1e12).contains(&v);
+        self.entries
+            .iter()
+            .all(|(_, _, _, room)| amount(room.cpus) && amount(room.gpus) && amount(room.memory_gb))
+    }
+
     /// The record as it is stored, within `limit` bytes: images are given up first, those used longest
     /// ago before others. `None` if its entries alone take more: what is stored already then names
     /// them all, since nothing is placed beyond what can be stored, and stays until some have left.
--- a/crates/scheduler/src/node/core/mod.rs
+++ b/crates/scheduler/src/node/core/mod.rs
@@ -73,6 +73,8 @@
     passing: Passing,
     teller: Teller,
     served: Served,
+    /// Messages in the name of nodes that are none of its peers.
+    dropped: u64,
     features: Vec<Slot>,
     started_at: Option<Time>,
     #[cfg(any(test, feature = "world"))]
@@ -117,6 +119,7 @@
             passing: Passing::default(),
             teller: Teller::default(),
             served: Served::default(),
+            dropped: 0,
             features: Vec::new(),
             started_at: None,
             #[cfg(any(test, feature = "world"))]
@@ -428,6 +431,7 @@
     fn peer(&mut self, envelope: Envelope) {
         let Envelope { from, message, .. } = envelope;
         if !self.peers.names().contains(&from) {
+            self.dropped += 1;
             return;
         }
         match message {
@@ -526,6 +530,8 @@
             format!("pearford_fence {}", self.top_fence),
             format!("pearford_jobs_known {}", self.mirror.len()),
             format!("pearford_state_requests_open {}", self.out.open()),
+            format!("pearford_peer_messages_dropped {}", self.dropped),
+            format!("pearford_records_unreadable {}", self.mirror.unreadable()),
         ];
         for (node, level, version) in self.levels.nodes() {
             lines.push(format!("pearford_node_level{{node=\"{node}\",version=\"{version}\"}} {level}"));
--- a/crates/scheduler/src/node/core/users.rs
+++ b/crates/scheduler/src/node/core/users.rs
@@ -69,7 +69,7 @@
         if self.desk.len() >= self.settings.operator.max_waiting_requests {
             return self.out.refuse(request, 429, "too many requests wait here; come back");
         }
-        let known = self.mirror.get(&id).is_some();
+        let known = self.mirror.get(&id).is_some() && !self.mirror.is_unreadable(&id);
         let waiting = Waiting { request, id, ask, since: self.now, tries: 0 };
         match &waiting.ask {
             // Setting the key if absent decides by itself; no read is needed before. A name that this
@@ -121,6 +121,12 @@
             (Some(Some(phase)), _) => {
                 self.out.answer(request, 200, users::status(&id, phase, self.counts_of(&id)));
             }
+            // Neither unknown nor anything else.
+            _ if self.mirror.is_unreadable(&id) => {
+                let why =
+                    format!("the record {} can't be read; the operators have to mend it", jobs::key(&id));
+                self.out.refuse(request, 503, &why);
+            }
             (Some(None), Ask::Withdraw) => {
                 if waiting.tries >= 5 {
                     return self.out.refuse(request, 503, "the job is changing; come back");
--- a/crates/scheduler/src/node/master/commits.rs
+++ b/crates/scheduler/src/node/master/commits.rs
@@ -86,7 +86,9 @@
                     .and_then(|id| ctx.mirror.get(&id.into()))
                     .is_some_and(|k| !k.record.is_open());
                 // Not for a job withdrawn with another: its record still waits to say so.
-                if over {
+                let unreadable =
+                    key.strip_prefix(jobs::PREFIX).is_some_and(|id| ctx.mirror.is_unreadable(&id.into()));
+                if over || unreadable {
                     self.journal.give_up(key);
                 }
             }
--- a/crates/scheduler/src/node/master/load.rs
+++ b/crates/scheduler/src/node/master/load.rs
@@ -33,8 +33,9 @@
             }
             let Some(id) = pair.key.strip_prefix(ledger::PREFIX) else { continue };
             match serde_json::from_str::<MachineRecord>(&pair.value) {
-                Ok(record) => self.inherit(id.into(), record, ctx.now),
-                Err(error) => tracing::error!(key = pair.key, %error, "machine record can't be read"),
+                Ok(record) if record.is_possible() => self.inherit(id.into(), record, ctx.now),
+                Ok(_) => self.opaque(&pair.key, id.into(), "says what nobody can have stored", ctx.now),
+                Err(error) => self.opaque(&pair.key, id.into(), &error.to_string(), ctx.now),
             }
         }
         match pairs.last() {
@@ -44,6 +45,20 @@
         }
     }
 
+    /// What is on a machine whose record can't be read is not known, and might be started elsewhere too: it is
+    /// returned, and nothing starts anywhere until the cloud has confirmed that.
+    fn opaque(&mut self, key: &str, id: MachineId, why: &str, now: Time) {
+        tracing::error!(
+            key,
+            why,
+            "machine record can't be read; returning the machine before anything starts"
+        );
+        let mut m = Machine::new(id.clone(), "".into(), "".into(), false, Room::default(), now);
+        m.standing = Standing::Releasing;
+        self.machines.insert(id.clone(), m);
+        self.opaque.insert(id);
+    }
+
     /// Reads again what could not be read.
     pub(super) fn reload_due(&mut self, ctx: &mut Ctx) {
         for op in due(&mut self.reload, ctx.now) {
--- a/crates/scheduler/src/node/master/mod.rs
+++ b/crates/scheduler/src/node/master/mod.rs
@@ -129,6 +129,10 @@
     machines: BTreeMap<MachineId, Machine>,
     /// What teams take on all machines, kept as sums.
     used: BTreeMap<TeamName, Room>,
+    /// Machines whose record can't be read.
+    opaque: BTreeSet<MachineId>,
+    /// Progress of jobs whose own record can't be read: what they have on machines is left as it is.
+    unread: BTreeMap<JobId, Vec<Pair>>,
     /// Machines that report tasks the ledger doesn't know.
     stray_on: BTreeSet<MachineId>,
     /// Jobs within their team's guarantee, until the jobs change.
@@ -346,6 +350,8 @@
             progress: Vec::new(),
             machines: BTreeMap::new(),
             used: BTreeMap::new(),
+            opaque: BTreeSet::new(),
+            unread: BTreeMap::new(),
             stray_on: BTreeSet::new(),
             guaranteed: None,
             tombs: BTreeMap::new(),
@@ -439,7 +445,10 @@
 
     /// Whether starts may leave: validly leading, all records read, withdrawals known.
     fn may_start(&self, ctx: &Ctx) -> bool {
-        ctx.valid && self.gathering.allows(Act::Start) && ctx.renewal.is_fresh(ctx.now)
+        ctx.valid
+            && self.gathering.allows(Act::Start)
+            && self.opaque.is_empty()
+            && ctx.renewal.is_fresh(ctx.now)
     }
 
     /// Whether a machine's reports may be answered with 200, which renews the worker's lease.
--- a/crates/scheduler/src/node/master/stock.rs
+++ b/crates/scheduler/src/node/master/stock.rs
@@ -52,11 +52,54 @@
                         tracing::error!(key = pair.key, %error, "progress can't be read");
                     }
                 }
+                _ if mirror.is_unreadable(&id.into()) => self.unread.entry(id.into()).or_default().push(pair),
                 _ => {
                     self.journal.put(&pair.key, None, Haste::Soon);
                 }
             }
         }
+        let tasks = self.machines.values().flat_map(|m| m.entries.keys());
+        let unread = tasks.map(|task| &task.job).filter(|job| mirror.is_unreadable(job));
+        for job in unread.cloned().collect::<BTreeSet<_>>() {
+            self.unread.entry(job).or_default();
+        }
+        self.claim_entries(None, now);
+        // All tasks may be recorded as done without the job being so.
+        let over: Vec<JobId> =
+            self.runs.iter().filter(|(_, r)| r.all_done()).map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.finish(&id);
+        }
+    }
+
+    /// A job's record can be read again, or is over: what it has on machines and its progress become its run's.
+    fn take_in_unread(&mut self, id: &JobId, now: Time) {
+        let Some(chunks) = self.unread.remove(id) else { return };
+        for pair in chunks {
+            let chunk = pair.key.rsplit_once('/').and_then(|(_, chunk)| chunk.parse().ok());
+            match (self.runs.get_mut(id), chunk) {
+                (Some(run), Some(chunk)) => {
+                    if let Err(error) = run.add_chunk(chunk, &pair.value) {
+                        tracing::error!(key = pair.key, %error, "progress can't be read");
+                    }
+                }
+                _ => {
+                    self.journal.put(&pair.key, None, Haste::Soon);
+                }
+            }
+        }
+        self.claim_entries(Some(id), now);
+        if self.runs.get(id).is_some_and(Run::all_done) {
+            self.finish(id);
+        }
+    }
+
+    /// Squares inherited entries, of one job or of all whose record can be read, with the runs.
+    fn claim_entries(&mut self, only: Option<&JobId>, now: Time) {
+        let ours = |job: &JobId, unread: &BTreeMap<JobId, Vec<Pair>>| match only {
+            Some(only) => job == only,
+            None => !unread.contains_key(job),
+        };
         // A task is planned anew only once its old entry is proved gone, but the records of the two
         // machines are written apart. Where the new one was in time and the old one's removal
         // wasn't, the lower attempt is that old entry. Taken for a live one it hid the other, and
@@ -70,6 +113,7 @@
             .machines
             .values()
             .flat_map(|m| m.entries.iter().map(|(t, e)| (m.id.clone(), t.clone(), e.state, e.attempt)))
+            .filter(|(_, task, ..)| ours(&task.job, &self.unread))
             .collect();
         for (machine, task, state, attempt) in entries {
             let superseded = newest.get(&task).is_some_and(|newest| attempt < *newest);
@@ -93,12 +137,6 @@
                 (Claim::Keep | Claim::Over, _) => self.drop_or_stop(&machine, &task, now),
             }
         }
-        // All tasks may be recorded as done without the job being so.
-        let over: Vec<JobId> =
-            self.runs.iter().filter(|(_, r)| r.all_done()).map(|(id, _)| id.clone()).collect();
-        for id in over {
-            self.finish(&id);
-        }
     }
 
     /// What the job records say of `id` has changed. A job gets a run, without which none of its tasks
@@ -113,6 +151,7 @@
                 self.served.count(Stage::Done, spec);
             }
             self.job_over(id, now);
+            self.take_in_unread(id, now);
             if known.record.is_open() {
                 // Withdrawn with a job that it needs. Status says so already; the record follows when
                 // nothing urgent waits.
@@ -131,6 +170,7 @@
                 run.priority = priority;
                 run.tried = 0; // room may be made for it now
             }
+            self.take_in_unread(id, now);
         }
     }
 
--- a/crates/scheduler/src/node/master/upkeep.rs
+++ b/crates/scheduler/src/node/master/upkeep.rs
@@ -341,6 +341,7 @@
     /// The cloud has answered 200: the machine and everything on it are gone.
     pub(super) fn released(&mut self, id: &MachineId, now: Time) {
         self.releasing.remove(id);
+        self.opaque.remove(id);
         self.hub.forget(id);
         self.tombs.insert(id.clone(), now);
         self.blocks.remove(id);
@@ -394,7 +395,7 @@
 
     pub(super) fn write_records(&mut self) {
         for id in std::mem::take(&mut self.dirty) {
-            let Some(m) = self.machines.get_mut(&id) else { continue };
+            let Some(m) = self.machines.get_mut(&id).filter(|_| !self.opaque.contains(&id)) else { continue };
             // A machine without tasks needs no record: its reports and the cloud's list show it.
             if m.entries.is_empty() && !self.journal.holds(&ledger::key(&id)) {
                 continue;
--- a/crates/scheduler/src/world/mod.rs
+++ b/crates/scheduler/src/world/mod.rs
@@ -2,6 +2,7 @@
 //! and users, with delays, late delivery, cuts, crashes, hangs and outages. `rules` checks every
 //! rule after each step, from what the stand-ins see and never from the cores' own books.
 
+mod bad_records;
 mod cloud;
 pub mod days;
 mod directed;
--- a/crates/scheduler/src/world/state.rs
+++ b/crates/scheduler/src/world/state.rs
@@ -69,6 +69,14 @@
         self.keys.get(key).map(|(value, ..)| value.as_str())
     }
 
+    /// Somebody writes a value past all conditions.
+    pub fn overwrite(&mut self, key: &str, value: &str) {
+        self.epoch += 1;
+        let stamp = Stamp(self.epoch);
+        self.keys.insert(key.into(), (value.into(), stamp, None));
+        self.history.push(News::Put(Pair { key: key.into(), value: value.into(), stamp }));
+    }
+
     pub fn stamp(&self, key: &str) -> Option<Stamp> {
         self.keys.get(key).map(|(_, stamp, _)| *stamp)
     }
