--- /dev/null
+++ b/crates/homes/src/hub/tests.rs
@@ -0,0 +1,126 @@
+
+use super::*;
+use crate::messages::Same;
+use pearford_types::Session;
+
+const T: fn(u64) -> Time = Time::from_ms;
+
+fn stamped(serial: u64) -> Stamped {
+    Stamped { session: Session(1), serial, fence: Fence(7) }
+}
+
+fn hub() -> (Hub, Delegation) {
+    let mut hub = Hub::new("l".into(), Fence(7), T(1_000));
+    let live = [("l".into(), "x".into()), ("a".into(), "y".into()), ("b".into(), "z".into())];
+    let delegation = hub.delegation(&live, true, T(1_000)).expect("due");
+    (hub, delegation)
+}
+
+fn full(serial: u64, content: &str) -> Full {
+    let (age, content) = (Span::ms(0), content.as_bytes().to_vec());
+    Full { machine: "m".into(), at: stamped(serial), age, content }
+}
+
+fn same(serial: u64, content: &str) -> Same {
+    let hash = content_hash(content.as_bytes());
+    Same { machine: "m".into(), at: stamped(serial), age: Span::ms(0), hash }
+}
+
+fn digest(full: Vec<Full>, same: Vec<Same>) -> Digest {
+    Digest { fence: Fence(7), beat: 1, full, same }
+}
+
+/// A machine moved from a to b, said something else there, and came back to a, to which it says what it had
+/// said there before: taken for what it said to b, that would prove tasks gone that run.
+#[test]
+fn the_same_as_before_is_taken_only_for_content_that_is_known() {
+    let (mut hub, _) = hub();
+    let (a, b): (NodeName, NodeName) = ("a".into(), "b".into());
+    assert_eq!(hub.digest(&a, digest(vec![full(1, "runs x")], vec![]), T(1_100)).len(), 1);
+    assert_eq!(hub.digest(&b, digest(vec![full(2, "nothing")], vec![]), T(1_200)).len(), 1);
+    assert!(hub.digest(&a, digest(vec![], vec![same(3, "runs x")]), T(1_300)).is_empty());
+    assert_eq!(hub.wants(), [(a.clone(), vec!["m".into()])]);
+    let heard = hub.digest(&a, digest(vec![full(3, "runs x")], vec![]), T(1_400));
+    assert!(heard[0].new && hub.known(&"m".into()).expect("known").content == b"runs x");
+    let heard = hub.digest(&a, digest(vec![], vec![same(4, "runs x")]), T(1_500));
+    assert!(!heard[0].new && heard[0].at.serial == 4);
+    // Overtaken and repeated ones say nothing.
+    assert!(hub.digest(&b, digest(vec![full(2, "nothing")], vec![]), T(1_600)).is_empty());
+    assert!(hub.digest(&a, digest(vec![], vec![same(4, "runs x")]), T(1_700)).is_empty());
+    assert!(hub.wants().is_empty());
+    // Nor do those to another leader.
+    let other = Digest { fence: Fence(6), ..digest(vec![full(9, "")], vec![]) };
+    assert!(hub.digest(&a, other, T(1_800)).is_empty());
+}
+
+/// Held back by a cut for a minute, a digest says that its machines were heard just now.
+#[test]
+fn a_digest_that_was_held_back_does_not_make_its_machines_look_alive() {
+    let (mut hub, _) = hub();
+    let heard = hub.digest(&"a".into(), digest(vec![full(1, "x")], vec![]), T(60_000));
+    assert!(heard[0].heard <= T(1_000) + SLACK);
+    // One whose beat is not even remembered says nothing.
+    let old = Digest { beat: 0, ..digest(vec![full(2, "x")], vec![]) };
+    assert!(hub.digest(&"a".into(), old, T(60_000)).is_empty());
+}
+
+#[test]
+fn orders_go_through_a_node_that_is_heard_and_else_straight() {
+    let (mut hub, _) = hub();
+    hub.digest(&"a".into(), digest(vec![full(1, "x")], vec![]), T(1_100));
+    assert_eq!(hub.route(&"m".into(), T(1_200)), Some(&"a".into()));
+    assert_eq!(hub.route(&"m".into(), T(4_000)), None, "a is silent");
+    assert_eq!(hub.detour(&"m".into(), T(1_200)), None, "straight, for once");
+    hub.digest(&"b".into(), digest(vec![], vec![]), T(4_000));
+    assert_eq!(hub.detour(&"m".into(), T(4_000)), Some(&"b".into()));
+    hub.digest(&"b".into(), digest(vec![], vec![]), T(5_000));
+    assert_eq!(hub.detour(&"m".into(), T(5_000)), None, "b is heard, and hears nothing");
+    hub.reported_here(&"m".into(), stamped(2), b"x".to_vec());
+    assert_eq!(hub.detour(&"m".into(), T(1_200)), Some(&"a".into()), "this node may have lost it");
+    assert_eq!(hub.route(&"m".into(), T(1_200)), None);
+    assert_eq!(hub.route(&"unheard".into(), T(1_200)), None);
+}
+
+/// Its digests came, under a delegation long past: it was home to a third of all machines, and no order and
+/// no delegation reached it.
+#[test]
+fn a_node_that_hears_nothing_is_home_to_none_until_it_does() {
+    let (mut hub, _) = hub();
+    let live = [("l".into(), "x".into()), ("a".into(), "y".into()), ("b".into(), "z".into())];
+    let weights = |d: &Delegation| d.homes.places().iter().map(|p| p.weight > 0).collect::<Vec<_>>();
+    let mut last = Vec::new();
+    for second in 2..10 {
+        for (node, beat) in [("a", second - 1), ("b", 1)] {
+            let told = Digest { beat, ..digest(vec![], vec![]) };
+            hub.digest(&node.into(), told, T(second * 1_000 - 100));
+        }
+        last = weights(&hub.delegation(&live, true, T(second * 1_000)).expect("due"));
+        assert!(second > 4 || last == [true; 3], "it has some time");
+    }
+    assert_eq!(last, [true, false, true], "a, b, l");
+    hub.digest(&"b".into(), Digest { beat: 9, ..digest(vec![], vec![]) }, T(9_900));
+    assert_eq!(weights(&hub.delegation(&live, true, T(10_000)).expect("due")), [true; 3]);
+}
+
+#[test]
+fn a_node_with_far_more_than_its_share_gets_a_lower_weight() {
+    let (mut hub, first) = hub();
+    let live = [("l".into(), "x".into()), ("a".into(), "y".into()), ("b".into(), "z".into())];
+    let weight = |d: &Delegation, node: &str| {
+        d.homes.places().iter().find(|p| p.node.as_str() == node).expect("there").weight
+    };
+    for i in 0..400 {
+        let machine = MachineId::from(format!("m-{i}").as_str());
+        let all = vec![Full { machine, ..full(1, "x") }];
+        hub.digest(&if i < 380 { "a" } else { "b" }.into(), digest(all, vec![]), T(1_100));
+    }
+    for second in 2..12 {
+        hub.delegation(&live, true, T(second * 1_000));
+        for node in ["a", "b"] {
+            let told = Digest { beat: second, ..digest(vec![], vec![]) };
+            hub.digest(&node.into(), told, T(second * 1_000 + 500));
+        }
+    }
+    let later = hub.delegation(&live, true, T(12_000)).expect("due");
+    assert!(weight(&later, "a") < weight(&first, "a") && weight(&later, "b") > weight(&first, "b"));
+}
--- /dev/null
+++ b/crates/scheduler/src/blocks/tests.rs
@@ -0,0 +1,39 @@
+
+use super::*;
+
+#[test]
+fn blocks_are_disjoint_cover_all_and_follow_the_work() {
+    let machines: BTreeSet<MachineId> = (0..20).map(|i| format!("m-{i}").as_str().into()).collect();
+    let nodes = ["a", "b", "c"].map(NodeName::from);
+    let mut blocks = Blocks::default();
+    let work: BTreeMap<NodeName, u32> = nodes.iter().cloned().zip([18, 0, 0]).collect();
+    blocks.cut(&machines, &work, Span::secs(30.0), Time::from_ms(0));
+    let sizes: Vec<usize> = nodes.iter().map(|n| blocks.get(n).map_or(0, |b| b.machines.len())).collect();
+    assert_eq!(sizes.iter().sum::<usize>(), 20);
+    assert!(sizes[0] >= 16, "{sizes:?}");
+    let live: BTreeSet<NodeName> = nodes.iter().cloned().collect();
+    assert!(!blocks.due(&live, Time::from_ms(29_999)) && blocks.due(&live, Time::from_ms(30_000)));
+    let live: BTreeSet<NodeName> = nodes[..2].iter().cloned().collect();
+    assert!(blocks.due(&live, Time::from_ms(1)), "cut anew as soon as a controller is away");
+    blocks.give(&nodes[1], machines.iter().take(7).cloned());
+    let all: usize = nodes.iter().map(|n| blocks.get(n).map_or(0, |b| b.machines.len())).sum();
+    assert_eq!(all, 20, "giving keeps blocks disjoint");
+}
+
+#[test]
+fn messages_survive_the_wire_and_garbage_does_not() {
+    let bytes = encode(
+        &"n0".into(),
+        PeerMessage::Ping {
+            state_ok: true,
+            fence_seen: Fence(4),
+            beat_at: (Fence(4), 9),
+            hears_workers: false,
+            zones_heard: vec![("z".into(), Span::ms(1200))],
+        },
+    );
+    let back = decode(&bytes).expect("readable");
+    assert!(matches!(back.message, PeerMessage::Ping { fence_seen: Fence(4), .. }));
+    assert!(decode(&bytes[..3]).is_none());
+    assert!(decode(&[0xff; 40]).is_none());
+}
--- /dev/null
+++ b/crates/scheduler/src/compat/tests.rs
@@ -0,0 +1,228 @@
+
+use super::*;
+use crate::blocks::{PeerMessage, decode, encode};
+use crate::jobs::{self, JobSpec, OpenJob, Priority, Record, Shape};
+use crate::ledger::MachineRecord;
+use crate::placement::{Counts, Learned, MachineView, Proposal, TaskAsk};
+use crate::types::{Attempt, Room, Session, TaskId, Wall};
+use crate::workers::Health;
+use std::sync::Arc;
+
+/// What the version before dependencies (82043da) wrote, recorded with its own code from the same
+/// values as below.
+const GOLDEN: &str = include_str!("golden.txt");
+
+fn golden(kind: &str) -> Vec<&'static str> {
+    GOLDEN.lines().filter_map(|l| l.strip_prefix(kind)).map(str::trim).collect()
+}
+
+fn room() -> Room {
+    Room { cpus: 5.0, gpus: 1.0, memory_gb: 6.4 }
+}
+
+fn job(shape: Shape, priority: Priority) -> Arc<OpenJob> {
+    let spec = JobSpec {
+        kind: "train".into(),
+        team: "red".into(),
+        shape,
+        priority,
+        tasks: 16,
+        room: room(),
+        image: "img-07".into(),
+        image_gb: 6.2,
+        types: Some(vec!["g8".into(), "g2".into()]),
+        zone: Some("z0".into()),
+        together: true,
+        spread: false,
+        spot: true,
+        estimate: Span::secs(240.0),
+        checkpoint: Span::secs(30.0),
+        save: Span::secs(4.0),
+        deadline: Some(Span::secs(900.0)),
+        needs: Vec::new(),
+    };
+    Arc::new(OpenJob { spec, submitted: Wall(1_700_000_000_123), home: "n1".into() })
+}
+
+fn learned() -> Vec<Learned> {
+    vec![
+        Learned { machine: "m-000231".into(), kind: "train".into(), success: true },
+        Learned { machine: "m-000007".into(), kind: "serve".into(), success: false },
+    ]
+}
+
+fn counts() -> Counts {
+    let mut c = Counts::default();
+    learned().iter().for_each(|l| c.learn(l));
+    c
+}
+
+fn messages() -> Vec<PeerMessage> {
+    let ask = TaskAsk {
+        job: "req-000412".into(),
+        kind: "train".into(),
+        shape: Shape::Gang,
+        tasks: vec![0, 1, 300],
+        room: room(),
+        types: Some(vec!["g8".into()]),
+        spot: false,
+        zones: vec![("z0".into(), 3), ("z1".into(), 0)],
+        together: true,
+        image: "img-07".into(),
+        image_gb: 6.2,
+    };
+    let view = MachineView {
+        id: "m-000231".into(),
+        type_name: "g8".into(),
+        zone: "z0".into(),
+        spot: true,
+        free: room(),
+        total: room().times(2.0),
+        empty: false,
+        health: Health::Degraded,
+        images: vec!["img-07".into()],
+        fetching: vec!["img-01".into()],
+        fetch_gb_per_s: 0.2,
+        held_for: Some("req-000001".into()),
+    };
+    let (fence, beat) = (Fence(412), 10);
+    let jobs = vec![("req-000412".into(), 3, 13)];
+    let proposal = Proposal { job: "req-000412".into(), task: 300, machine: "m-000231".into() };
+    vec![
+        PeerMessage::Ping {
+            state_ok: true,
+            fence_seen: fence,
+            beat_at: (fence, 9),
+            hears_workers: false,
+            zones_heard: vec![("z0".into(), Span::ms(1200))],
+        },
+        PeerMessage::Beat { fence, beat, jobs: jobs.clone(), learned: learned() },
+        PeerMessage::Table { fence, beat, jobs, counts: counts() },
+        PeerMessage::Offer { fence, block: 7, round: 8, machines: vec![view], asks: vec![ask] },
+        PeerMessage::Proposals { fence, block: 7, round: 8, proposals: vec![proposal] },
+    ]
+}
+
+/// The same bytes both ways: what either version says, the other understands.
+#[test]
+fn peers_of_the_version_before_understand_every_message_and_are_understood() {
+    let recorded = golden("message");
+    assert_eq!(recorded.len(), messages().len());
+    for (message, hex) in messages().into_iter().zip(recorded) {
+        let bytes: Vec<u8> =
+            (0..hex.len() / 2).map(|i| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).unwrap_or(0)).collect();
+        let theirs = decode(&bytes).expect("theirs is understood");
+        assert_eq!(encode(&"n0".into(), theirs.message), bytes);
+        assert_eq!(encode(&"n0".into(), message), bytes, "ours is theirs to the byte");
+        // The rule for later versions: additions go behind the message, and are ignored here.
+        let longer = [&bytes[..], &[1, 2, 3]].concat();
+        assert!(decode(&longer).is_some());
+    }
+}
+
+#[test]
+fn records_of_the_version_before_are_read_and_written_as_it_did() {
+    let open = [
+        (Shape::Array, Priority::Low),
+        (Shape::Gang, Priority::High),
+        (Shape::Service, Priority::Production),
+        (Shape::Array, Priority::Normal),
+    ];
+    let mut records: Vec<Record> = open.map(|(s, p)| Record::Open(job(s, p))).into();
+    records.extend([Record::Done, Record::Withdrawn]);
+    let recorded = golden("job");
+    assert_eq!(recorded.len(), records.len());
+    for (record, text) in records.iter().zip(recorded) {
+        assert_eq!(&serde_json::from_str::<Record>(text).expect("read"), record);
+        assert_eq!(record.to_value(), text);
+    }
+    let machine: MachineRecord = serde_json::from_str(golden("machine")[0]).expect("read");
+    let task = TaskId { job: "req-000412".into(), index: 3 };
+    assert_eq!(machine.entries, [(task, Attempt(432_013_319), "red".into(), room())]);
+    assert_eq!((machine.session, &machine.images[..]), (Session(2), &[("img-07".into(), 6.2)][..]));
+    assert_eq!(serde_json::to_string(&machine).expect("writable"), golden("machine")[0]);
+    let mut bits = jobs::Bits::default();
+    for (n, text) in golden("progress").into_iter().enumerate() {
+        bits.add_chunk(n as u32, text).expect("read");
+    }
+    for (n, text) in golden("progress").into_iter().enumerate() {
+        assert_eq!(bits.chunk_value(n as u32), text);
+    }
+    assert_eq!(bits.count(), 6);
+    let mut table = Counts::default();
+    for text in golden("counts") {
+        table.add_part(text.split_once(' ').expect("part and value").1).expect("read");
+    }
+    let pair = |c: &Counts, l: &Learned| c.pair(&l.machine, &l.kind);
+    assert!(learned().iter().all(|l| pair(&table, l) == pair(&counts(), l)));
+}
+
+/// The version before knows `open`, `done` and `withdrawn` and ignores fields it doesn't know: under
+/// `open` it would run a dependent job at once.
+#[test]
+fn a_dependent_job_can_not_be_taken_for_an_independent_one() {
+    let mut job = (*job(Shape::Array, Priority::Low)).clone();
+    job.spec.needs = vec!["req-1".into()];
+    let record = Record::Open(Arc::new(job));
+    let value = record.to_value();
+    assert!(value.starts_with("{\"dependent\":") && !value.contains("\"open\""));
+    assert_eq!(serde_json::from_str::<Record>(&value).expect("read"), record);
+}
+
+fn pair(key: &str, value: &str) -> Pair {
+    Pair { key: key.into(), value: value.into(), stamp: Stamp(3) }
+}
+
+#[test]
+fn a_level_is_reached_when_every_configured_node_has_said_so_and_never_earlier() {
+    let mut l = Levels::new("n0".into(), ["n1", "n2"].map(NodeName::from).into_iter());
+    let mut now = Time::from_ms(1);
+    assert!(
+        matches!(l.tick(now, Some(Fence(9))), Some(StateRequest::Range { .. })),
+        "it looks what is stored"
+    );
+    l.reply(now, StateReply::Pairs { pairs: Vec::new(), more: false, epoch: 1 });
+    let first = l.tick(now, Some(Fence(9))).expect("it announces itself first");
+    assert!(matches!(&first, StateRequest::Commit { changes, .. } if changes[0].key() == "level/node/n0"));
+    l.reply(now, StateReply::Committed { epoch: 2 });
+    let mut seen = vec![pair("level/node/n0", "{\"level\":1}"), pair("level/node/n2", "{\"level\":1}")];
+    for _ in 0..5000 {
+        now = now + Span::ms(1000);
+        let request = l.tick(now, Some(Fence(9))).expect("it looks");
+        assert!(matches!(request, StateRequest::Range { .. }), "n1 hasn't shown up: {request:?}");
+        l.reply(now, StateReply::Pairs { pairs: seen.clone(), more: false, epoch: 3 });
+    }
+    // Nodes that aren't configured don't stand in for one that is.
+    seen.push(pair("level/node/n7", "{\"level\":1}"));
+    seen.push(pair("level/node/n1", "{\"level\":1,\"version\":\"x\"}"));
+    now = now + Span::ms(1000);
+    l.tick(now, None).expect("it looks");
+    l.reply(now, StateReply::Pairs { pairs: seen, more: false, epoch: 4 });
+    now = now + Span::ms(1000);
+    assert!(matches!(l.tick(now, None), Some(StateRequest::Range { .. })), "only the leader marks");
+    l.reply(now, StateReply::Unknown);
+    now = now + Span::ms(1000);
+    let Some(StateRequest::Commit { conditions, .. }) = l.tick(now, Some(Fence(9))) else {
+        panic!("the leader marks it")
+    };
+    assert_eq!(conditions[0], ("leader".to_string(), Stamp(9)));
+    assert_eq!(l.reached(), 0, "not before that is durable");
+    l.reply(now, StateReply::Committed { epoch: 5 });
+    assert_eq!(l.reached(), 1);
+}
+
+/// A restart wrote the same again, which was refused while others used up the changes.
+#[test]
+fn a_node_whose_level_is_stored_says_nothing_anew_and_one_that_went_back_does() {
+    for (stored, says) in [(OURS, false), (OURS + 1, true)] {
+        let mut l = Levels::new("n0".into(), std::iter::empty());
+        let now = Time::from_ms(1);
+        l.tick(now, None).expect("it looks");
+        let value = format!("{{\"level\":{stored},\"version\":\"{VERSION}\"}}");
+        let pairs = vec![pair("level/node/n0", &value), pair(MARK, &OURS.to_string())];
+        l.reply(now, StateReply::Pairs { pairs, more: false, epoch: 3 });
+        assert_eq!(l.reached(), OURS);
+        let next = l.tick(now + PAUSE, None);
+        assert_eq!(matches!(next, Some(StateRequest::Commit { .. })), says, "{stored}: {next:?}");
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/fleet/tests.rs
@@ -0,0 +1,67 @@
+
+use super::*;
+
+fn market() -> Market {
+    let types = serde_json::from_str(
+            r#"[{"name":"small","vcpus":8,"accelerators":2,"memory_gb":8,"hourly":6.0,"low_price":2.0,"regions":["a","b"]},
+                {"name":"big","vcpus":32,"accelerators":8,"memory_gb":32,"hourly":16.0,"low_price":8.0,"regions":["a"]}]"#,
+        )
+        .expect("valid");
+    Market::new(types)
+}
+
+fn need(tasks: u32, gpus: f64, spot: bool) -> Need {
+    Need {
+        tasks,
+        room: Room { cpus: 1.0, gpus, memory_gb: 1.0 },
+        types: None,
+        spot,
+        zones: vec![("a".into(), 99_999), ("b".into(), 99_999)],
+        together: false,
+        patient: false,
+    }
+}
+
+#[test]
+fn the_cheapest_adequate_offer_is_rented_and_what_is_coming_counts() {
+    let mut m = market();
+    let now = Time::from_ms(0);
+    let plan = |m: &mut Market, n: Need, c: Vec<Coming>| m.plan(vec![n], c, &BTreeMap::new(), now);
+    let offer = |t: &str, z: &str, spot| Offer { type_name: t.into(), zone: z.into(), spot };
+    assert_eq!(plan(&mut m, need(1, 1.0, false), vec![]), [(offer("small", "a", false), 1)]);
+    assert_eq!(plan(&mut m, need(8, 1.0, false), vec![]), [(offer("big", "a", false), 1)]);
+    assert_eq!(plan(&mut m, need(1, 8.0, true), vec![]), [(offer("big", "a", true), 1)]);
+    let room = Room { cpus: 8.0, gpus: 2.0, memory_gb: 8.0 };
+    let coming = vec![Coming { offer: offer("small", "b", false), free: room, number: 1 }];
+    assert_eq!(plan(&mut m, need(2, 1.0, false), coming), []);
+    m.refuse(offer("small", "a", true), Time::from_ms(9));
+    m.refuse(offer("small", "b", true), Time::from_ms(9));
+    let mut patient = need(1, 1.0, true);
+    assert_eq!(plan(&mut m, patient.clone(), vec![]), [(offer("small", "a", false), 1)]);
+    patient.patient = true;
+    assert_eq!(plan(&mut m, patient, vec![]), [], "three times the price, and it can wait");
+    m.refuse(offer("small", "a", false), Time::from_ms(9));
+    assert_eq!(plan(&mut m, need(1, 1.0, false), vec![]), [(offer("small", "b", false), 1)]);
+}
+
+/// Only the first few hundred waiting tasks were looked at: while their machines booted, no
+/// more were rented for those behind them.
+#[test]
+fn all_that_waits_gets_machines_and_together_means_one_zone() {
+    let mut m = market();
+    let now = Time::from_ms(0);
+    let count = |plan: Vec<(Offer, u32)>| plan.iter().map(|(_, n)| *n).sum::<u32>();
+    let mut many = need(8000, 1.0, true);
+    many.types = Some(vec!["big".into()]);
+    assert_eq!(count(m.plan(vec![many], vec![], &BTreeMap::new(), now)), 1000);
+    let mut gang = need(2, 2.0, false);
+    gang.together = true;
+    let room = Room { cpus: 8.0, gpus: 2.0, memory_gb: 8.0 };
+    let small = |z: &str| Offer { type_name: "small".into(), zone: z.into(), spot: false };
+    let one = |z: &str, number| Coming { offer: small(z), free: room, number };
+    let plan = m.plan(vec![gang.clone()], vec![one("a", 1), one("b", 2)], &BTreeMap::new(), now);
+    assert_eq!(plan, [], "zone b holds it");
+    gang.types = Some(vec!["small".into()]);
+    let plan = m.plan(vec![gang], vec![one("b", 1)], &BTreeMap::new(), now);
+    assert_eq!(plan, [(small("b"), 1)]);
+}
--- a/crates/scheduler/src/gangs/mod.rs
+++ b/crates/scheduler/src/gangs/mod.rs
@@ -34,13 +34,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn attempts_of_a_later_leader_are_later() {
-        let mut a = Attempts::new(Fence(5));
-        let (x, y) = (a.issue(), a.issue());
-        assert!(x < y && y < Attempts::new(Fence(6)).issue());
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/scheduler/src/gangs/tests.rs
@@ -0,0 +1,9 @@
+
+use super::*;
+
+#[test]
+fn attempts_of_a_later_leader_are_later() {
+    let mut a = Attempts::new(Fence(5));
+    let (x, y) = (a.issue(), a.issue());
+    assert!(x < y && y < Attempts::new(Fence(6)).issue());
+}
--- /dev/null
+++ b/crates/scheduler/src/jobs/graph/tests.rs
@@ -0,0 +1,105 @@
+
+use super::super::{Mirror, OpenJob, Record};
+use super::*;
+use crate::types::{Stamp, Wall};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use std::sync::Arc;
+
+fn id(n: usize) -> JobId {
+    format!("req-{n}").as_str().into()
+}
+
+fn open(needs: &[usize], priority: Priority) -> Record {
+    let mut spec = crate::jobs::tests::spec();
+    spec.needs = needs.iter().map(|n| id(*n)).collect();
+    spec.priority = priority;
+    Record::Open(Arc::new(OpenJob { spec, submitted: Wall(1), home: "n0".into() }))
+}
+
+/// Records in any order, as listings and watches bring them, lead every node to the same result:
+/// that of a plain look at all records.
+#[test]
+fn what_waits_and_what_is_withdrawn_follows_from_the_records_in_any_order() {
+    let mut rng = StdRng::seed_from_u64(3);
+    for _ in 0..200 {
+        let n = rng.random_range(2..14);
+        let needs: Vec<Vec<usize>> =
+            (0..n).map(|i| (0..i).filter(|_| rng.random_bool(0.3)).collect()).collect();
+        // Verdicts as they can come about: done only after all needs are.
+        let mut verdict: Vec<Option<Phase>> = vec![None; n];
+        for i in 0..n {
+            let ready = needs[i].iter().all(|j| verdict[*j] == Some(Phase::Done));
+            verdict[i] = match rng.random_range(0..4) {
+                0 | 1 if ready => Some(Phase::Done),
+                2 => Some(Phase::Withdrawn),
+                _ => None,
+            };
+        }
+        let mut records: Vec<(usize, u64, Record)> = Vec::new();
+        for i in 0..n {
+            // A listing may show the verdict alone.
+            if verdict[i].is_none() || rng.random_bool(0.6) {
+                records.push((i, 1, open(&needs[i], Priority::Low)));
+            }
+            match verdict[i] {
+                Some(Phase::Done) => records.push((i, 2, Record::Done)),
+                Some(_) => records.push((i, 2, Record::Withdrawn)),
+                None => {}
+            }
+        }
+        records.shuffle(&mut rng);
+        let mut m = Mirror::default();
+        for (i, stamp, record) in records {
+            m.learn(id(i), Stamp(stamp), record);
+        }
+        let mut expected = verdict.clone();
+        for i in 0..n {
+            if expected[i].is_none() && needs[i].iter().any(|j| expected[*j] == Some(Phase::Withdrawn)) {
+                expected[i] = Some(Phase::Withdrawn);
+            }
+        }
+        for i in 0..n {
+            assert_eq!(m.verdict(&id(i)), expected[i], "job {i} of {needs:?}, {verdict:?}");
+            let ready = expected[i].is_none() && needs[i].iter().all(|j| expected[*j] == Some(Phase::Done));
+            assert_eq!(m.ready(&id(i)), ready, "job {i} of {needs:?}, {verdict:?}");
+        }
+    }
+}
+
+#[test]
+fn priority_is_lent_along_the_chain_and_taken_back() {
+    let mut m = Mirror::default();
+    m.learn(id(0), Stamp(1), open(&[], Priority::Low));
+    m.learn(id(1), Stamp(2), open(&[0], Priority::Low));
+    m.learn(id(9), Stamp(3), open(&[0], Priority::Normal));
+    assert_eq!(m.priority(&id(0)), Priority::Normal);
+    m.take_changed();
+    m.learn(id(2), Stamp(4), open(&[1], Priority::High));
+    assert!(m.take_changed().contains(&id(0)), "the leader must look at it again");
+    assert_eq!((m.priority(&id(0)), m.priority(&id(1))), (Priority::High, Priority::High));
+    m.learn(id(2), Stamp(5), Record::Withdrawn);
+    assert!(m.take_changed().contains(&id(0)));
+    assert_eq!((m.priority(&id(0)), m.priority(&id(1))), (Priority::Normal, Priority::Low));
+}
+
+/// Walks go by edges, not by paths: here there are 2^60 of them.
+#[test]
+fn long_chains_and_wide_fans_are_walked_in_linear_time() {
+    let mut m = Mirror::default();
+    m.learn(id(0), Stamp(1), open(&[], Priority::Low));
+    m.learn(id(1), Stamp(1), open(&[], Priority::Low));
+    for level in 1..60 {
+        let needs = [2 * level - 2, 2 * level - 1];
+        m.learn(id(2 * level), Stamp(1), open(&needs, Priority::Low));
+        m.learn(id(2 * level + 1), Stamp(1), open(&needs, Priority::Low));
+    }
+    for i in 1000..20_000 {
+        m.learn(id(i), Stamp(1), open(&[118], Priority::High));
+    }
+    assert_eq!(m.priority(&id(0)), Priority::High);
+    m.learn(id(0), Stamp(2), Record::Withdrawn);
+    assert_eq!(m.verdict(&id(19_999)), Some(Phase::Withdrawn));
+    assert_eq!(m.verdict(&id(1)), None);
+}
--- /dev/null
+++ b/crates/scheduler/src/node/master/changes/tests.rs
@@ -0,0 +1,73 @@
+
+use super::super::stock::tests::{master, report};
+use super::*;
+
+/// Two large machines and twenty small ones, and a leader that may write four changes a second.
+fn fleet() -> (Master, Time) {
+    let (mut m, now) = (master(), Time::from_ms(1_000));
+    m.writes = Budget::new(4.0);
+    for i in 0..22 {
+        let id = format!("m-{i:02}");
+        m.take_report(&report(&id, "z0", 1), now);
+        let size = if i < 2 { 16.0 } else { 1.0 };
+        let total = Room { cpus: size, gpus: 0.0, memory_gb: size };
+        m.machines.get_mut(&MachineId::from(id.as_str())).expect("there").total = total;
+        m.recount(&id.as_str().into(), now);
+    }
+    m.settings = Arc::new(Settings { zones: vec!["z0".into()], ..(*m.settings).clone() });
+    (m, now)
+}
+
+fn job(m: &mut Master, id: &str, shape: Shape, tasks: u32, now: Time) {
+    let mut spec = jobs::tests::spec();
+    (spec.shape, spec.tasks, spec.types, spec.zone) = (shape, tasks, None, None);
+    spec.room = Room { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
+    spec.team = m.settings.teams.keys().next().expect("a team").clone();
+    let job = jobs::OpenJob { spec, submitted: crate::types::Wall(1), home: "n0".into() };
+    m.runs.insert(id.into(), Run::new(Arc::new(job), now));
+}
+
+fn look(m: &mut Master, now: Time) -> Vec<(Vec<MachineId>, Vec<TaskAsk>)> {
+    let me = NodeName::from("n0");
+    let rounds = m.build_rounds(&BTreeSet::from([me.clone()]), &me, now);
+    let ids = |views: Vec<MachineView>| views.into_iter().map(|v| v.id).collect();
+    rounds.into_iter().map(|(_, _, views, asks)| (ids(views), asks)).collect()
+}
+
+/// Spread over all machines with room, thirty tasks took twenty records, at four changes a second; on the large
+/// ones they take two.
+#[test]
+fn while_changes_are_short_arrays_go_where_a_change_carries_most_starts() {
+    let (mut m, now) = fleet();
+    job(&mut m, "req-1", Shape::Array, 30, now);
+    let looks = look(&mut m, now);
+    assert_eq!(looks[0].0, ["m-00".into(), "m-01".into()]);
+    // One whose record waits anyway takes more for nothing, and beyond the bound nobody else does.
+    let (mut m, now) = fleet();
+    job(&mut m, "req-1", Shape::Array, 30, now);
+    for i in 5..9 {
+        m.journal.put(&ledger::key(&format!("m-{i:02}").as_str().into()), Some("{}".into()), Haste::Urgent);
+    }
+    let ids: Vec<MachineId> = (5..9).map(|i| format!("m-{i:02}").as_str().into()).collect();
+    assert_eq!(look(&mut m, now)[0].0, ids);
+    // With changes to spare all machines are there.
+    let (mut m, now) = fleet();
+    job(&mut m, "req-1", Shape::Array, 4, now);
+    assert_eq!(look(&mut m, now)[0].0.len(), 22);
+}
+
+/// Replicas are asked in looks of their own, over all machines, and neither they nor arrays wait for the other.
+#[test]
+fn replicas_and_arrays_have_their_turns() {
+    let (mut m, now) = fleet();
+    job(&mut m, "req-1", Shape::Array, 30, now);
+    job(&mut m, "req-2", Shape::Service, 3, now);
+    let mut seen = Vec::new();
+    for _ in 0..4 {
+        m.runs.values_mut().for_each(|r| r.offered = 0);
+        let looks = look(&mut m, now);
+        seen.push((looks[0].1[0].job.to_string(), looks[0].0.len()));
+    }
+    let (array, service) = (("req-1".to_string(), 2), ("req-2".to_string(), 22));
+    assert_eq!(seen, [array.clone(), service.clone(), array, service]);
+}
--- /dev/null
+++ b/crates/scheduler/src/node/master/stock/tests.rs
@@ -0,0 +1,83 @@
+
+use super::*;
+use crate::wire::workers::Report;
+
+fn record(attempt: u64) -> MachineRecord {
+    MachineRecord {
+        type_name: "t".into(),
+        zone: "z0".into(),
+        spot: false,
+        addr: Some("10.9.0.1:1".into()),
+        session: Session(1),
+        entries: vec![(
+            TaskId { job: "req-1".into(), index: 0 },
+            Attempt(attempt),
+            "red".into(),
+            Room { cpus: 1.0, gpus: 1.0, memory_gb: 1.0 },
+        )],
+        images: vec![("i".into(), 5.0)],
+    }
+}
+
+pub fn report(machine: &str, zone: &str, serial: u64) -> Report {
+    serde_json::from_str(&format!(
+        r#"{{"host":"{machine}","addr":"10.9.0.1:1","flavor":"t","region":"{zone}","preemptible":false,
+            "tenure":1,"serial":{serial},"fence":9,"shards":[]}}"#
+    ))
+    .expect("valid")
+}
+
+pub fn master() -> Master {
+    let settings = crate::settings::parse(("p", crate::settings::SAMPLE), None).expect("valid");
+    Master::new(Arc::new(settings), Fence(9), Time::from_ms(1), Vec::new(), Vec::new())
+}
+
+/// The removal of an old entry had not been written when the leader crashed, the task's new
+/// entry elsewhere had: the old one's absence then freed a task that was running.
+#[test]
+fn an_entry_left_over_from_an_earlier_attempt_does_not_hide_the_live_one() {
+    for (first, second, live) in [(5, 7, "m-2"), (7, 5, "m-1")] {
+        let (mut m, now) = (master(), Time::from_ms(1));
+        m.inherit("m-1".into(), record(first), now);
+        m.inherit("m-2".into(), record(second), now);
+        let mut mirror = jobs::Mirror::default();
+        let job =
+            jobs::OpenJob { spec: jobs::tests::spec(), submitted: crate::types::Wall(1), home: "n0".into() };
+        mirror.learn("req-1".into(), Stamp(1), Record::Open(Arc::new(job)));
+        m.take_stock(&mirror, now);
+        let dead = if live == "m-1" { "m-2" } else { "m-1" };
+        m.take_report(&report(dead, "z0", 8), Time::from_ms(2));
+        let run = &m.runs[&JobId::from("req-1")];
+        assert_eq!(run.placed().get(&0), Some(&MachineId::from(live)), "it is still on {live}");
+    }
+}
+
+/// One slow fetch made the other tasks of a gang give up, again and again (andina apart).
+#[test]
+fn a_gangs_tasks_with_their_image_start_after_the_others_fetches() {
+    let (mut m, now) = (master(), Time::from_ms(1));
+    let mut spec = jobs::tests::spec();
+    (spec.shape, spec.tasks) = (Shape::Gang, 2);
+    let job = Arc::new(jobs::OpenJob { spec, submitted: crate::types::Wall(1), home: "n0".into() });
+    m.runs.insert("req-1".into(), Run::new(job, now));
+    for (i, after_fetches) in [(0, true), (1, false)] {
+        let id = format!("m-{i}");
+        m.take_report(&report(&id, "z0", 1), now);
+        let id = MachineId::from(id.as_str());
+        let task = TaskId { job: "req-1".into(), index: i };
+        let mut entry = Entry::new(&task, Attempt(7), "red".into(), Room::default(), EntryState::Ready, now);
+        entry.after_fetches = after_fetches;
+        m.machines.get_mut(&id).expect("there").entries.insert(task, entry);
+        m.runs.get_mut(&JobId::from("req-1")).expect("there").place(i, id);
+    }
+    let starts = |m: &mut Master, id: &str| {
+        m.machines.get_mut(&MachineId::from(id)).expect("there").direct_orders(true, Time::from_ms(1)).1.len()
+    };
+    assert_eq!((starts(&mut m, "m-0"), starts(&mut m, "m-1")), (0, 1));
+    let waiting = r#"{"host":"m-1","addr":"10.9.0.1:1","flavor":"t","region":"z0","preemptible":false,
+            "tenure":1,"serial":2,"fence":9,"shards":[{"shard":"req-1/1","try":7,"phase":"waiting"}]}"#;
+    m.take_report(&serde_json::from_str(waiting).expect("valid"), now);
+    assert!(m.to_direct.contains(&MachineId::from("m-0")));
+    assert_eq!(starts(&mut m, "m-0"), 1);
+    assert!(m.machines[&MachineId::from("m-1")].has_image(&"i".into()));
+}
--- /dev/null
+++ b/crates/scheduler/src/placement/tests.rs
@@ -0,0 +1,163 @@
+
+use super::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const FACTORS: Factors = Factors { degraded: 0.5, unknown: 0.8, empty: 0.5, dear: 0.3, fetch_half_s: 5.0 };
+
+fn view(id: &str, zone: &str, gpus: f64, empty: bool) -> MachineView {
+    MachineView {
+        id: id.into(),
+        type_name: "t".into(),
+        zone: zone.into(),
+        spot: false,
+        free: Room { cpus: 99.0, gpus, memory_gb: 99.0 },
+        total: Room { cpus: 99.0, gpus: if empty { gpus } else { 2.0 * gpus }, memory_gb: 99.0 },
+        empty,
+        health: Health::Healthy,
+        images: Vec::new(),
+        fetching: Vec::new(),
+        fetch_gb_per_s: 0.2,
+        held_for: None,
+    }
+}
+
+fn ask(shape: Shape, tasks: u32, together: bool) -> TaskAsk {
+    TaskAsk {
+        job: "req-1".into(),
+        kind: "k".into(),
+        shape,
+        tasks: (0..tasks).collect(),
+        room: Room { cpus: 1.0, gpus: 1.0, memory_gb: 1.0 },
+        types: None,
+        spot: true,
+        zones: vec![("a".into(), 99), ("b".into(), 99)],
+        together,
+        image: "i".into(),
+        image_gb: 1.0,
+    }
+}
+
+#[test]
+fn a_gang_gets_every_machine_or_none_and_one_zone_if_it_must() {
+    for seed in 0..50 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut machines =
+            [view("m1", "a", 2.0, true), view("m2", "b", 2.0, true), view("m3", "b", 1.0, true)];
+        let got = round(&mut machines, &[ask(Shape::Gang, 3, true)], &Counts::default(), &FACTORS, &mut rng);
+        assert_eq!(got.len(), 3, "zone b holds it, whatever the first draw (seed {seed})");
+        assert!(got.iter().all(|p| p.machine != "m1".into()));
+        let mut machines = [view("m1", "a", 2.0, true), view("m2", "b", 2.0, true)];
+        let asks = [ask(Shape::Gang, 5, false)];
+        assert!(round(&mut machines, &asks, &Counts::default(), &FACTORS, &mut rng).is_empty());
+        assert_eq!(machines[0].free.gpus, 2.0, "nothing stays booked");
+    }
+}
+
+#[test]
+fn failures_and_emptiness_turn_the_draw_away() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut counts = Counts::default();
+    for _ in 0..20 {
+        counts.learn(&Learned { machine: "bad".into(), kind: "k".into(), success: false });
+        counts.learn(&Learned { machine: "good".into(), kind: "other".into(), success: true });
+    }
+    let mut bad = 0;
+    let mut empty = 0;
+    for _ in 0..200 {
+        let mut machines = [view("bad", "a", 1.0, false), view("good", "a", 1.0, false)];
+        let p = round(&mut machines, &[ask(Shape::Array, 1, false)], &counts, &FACTORS, &mut rng);
+        bad += u32::from(p[0].machine == "bad".into());
+        let mut machines = [view("x", "a", 1.0, true), view("y", "a", 1.0, false)];
+        let p = round(&mut machines, &[ask(Shape::Array, 1, false)], &counts, &FACTORS, &mut rng);
+        empty += u32::from(p[0].machine == "x".into());
+    }
+    assert!(bad < 10, "the fallback pair of a kind never seen counts too: {bad}");
+    assert!((20..90).contains(&empty), "an emptier machine wins less often: {empty}");
+}
+
+#[test]
+fn a_machine_with_the_image_is_preferred() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut counts = Counts::default();
+    for m in ["has", "lacks"] {
+        for _ in 0..20 {
+            counts.learn(&Learned { machine: m.into(), kind: "k".into(), success: true });
+        }
+    }
+    let won = (0..100).filter(|_| {
+        let mut machines = [view("has", "a", 1.0, false), view("lacks", "a", 1.0, false)];
+        machines[0].images.push("i".into());
+        let p = round(&mut machines, &[ask(Shape::Array, 1, false)], &counts, &FACTORS, &mut rng);
+        p[0].machine == "has".into()
+    });
+    assert!(won.count() > 90);
+}
+
+/// Two images fetched side by side take twice as long each, one fetched for two tasks doesn't.
+#[test]
+fn a_machine_that_fetches_another_image_is_avoided() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut counts = Counts::default();
+    for m in ["busy", "quiet", "same"] {
+        for _ in 0..20 {
+            counts.learn(&Learned { machine: m.into(), kind: "k".into(), success: true });
+        }
+    }
+    let mut won = |a: &str, b: &str| {
+        let rounds = (0..100).filter(|_| {
+            let mut machines = [view(a, "a", 1.0, false), view(b, "a", 1.0, false)];
+            for m in machines.iter_mut().filter(|m| m.id != "quiet".into()) {
+                m.fetching.push(if m.id == "busy".into() { "j".into() } else { "i".into() });
+            }
+            let p = round(&mut machines, &[ask(Shape::Array, 1, false)], &counts, &FACTORS, &mut rng);
+            p[0].machine == a.into()
+        });
+        rounds.count()
+    };
+    assert!(won("quiet", "busy") > 90);
+    assert!(won("same", "quiet") > 90);
+}
+
+/// Small tasks took piece by piece what had been cleared for a whole-machine task, so that
+/// it was cleared again and again.
+#[test]
+fn a_held_machine_takes_nobody_else() {
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut machines = [view("m1", "a", 9.0, false)];
+    machines[0].held_for = Some("req-2".into());
+    let mut a = ask(Shape::Array, 1, false);
+    let asks = [a.clone()];
+    assert!(round(&mut machines, &asks, &Counts::default(), &FACTORS, &mut rng).is_empty());
+    a.job = "req-2".into();
+    assert_eq!(round(&mut machines, &[a], &Counts::default(), &FACTORS, &mut rng).len(), 1);
+}
+
+#[test]
+fn spread_caps_hold_within_a_round_and_the_table_stays_bounded() {
+    let mut rng = StdRng::seed_from_u64(2);
+    let mut machines = [view("m1", "a", 9.0, true), view("m2", "b", 9.0, true)];
+    let mut a = ask(Shape::Service, 5, false);
+    a.zones = vec![("a".into(), 3), ("b".into(), 1)];
+    let got = round(&mut machines, &[a], &Counts::default(), &FACTORS, &mut rng);
+    assert_eq!(got.iter().filter(|p| p.machine == "m1".into()).count(), 3);
+    assert_eq!(got.len(), 4);
+    let mut counts = Counts::default();
+    for i in 0..500 {
+        counts.learn(&Learned { machine: format!("m-{i}").as_str().into(), kind: "k".into(), success: true });
+    }
+    let mut back = Counts::default();
+    for _ in 0..PARTS {
+        let parts = counts.take_changed(PARTS_AT_ONCE, 1024);
+        assert!(parts.len() <= PARTS_AT_ONCE && parts.iter().all(|(_, value)| value.len() <= 1024));
+        parts.iter().for_each(|(_, value)| back.add_part(value).expect("readable"));
+    }
+    assert_eq!(back.machines, counts.machines, "every part has its turn");
+    assert!(counts.take_changed(99, 1024).is_empty(), "only what has changed is written");
+    counts.learn(&Learned { machine: "m-3".into(), kind: "k".into(), success: true });
+    let mut back = Counts::default();
+    for (_, value) in counts.take_changed(99, 99_999) {
+        back.add_part(&value).expect("readable");
+    }
+    assert_eq!(back.pair(&"m-3".into(), &"k".into()), Pair(3.0, 1.0));
+}
