--- a/crates/cell/src/served/tests.rs
+++ b/crates/cell/src/served/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn line(s: u32, what: &str, job: u32, class: &str, team: &str) -> String {
--- a/crates/homes/src/delegate/tests.rs
+++ b/crates/homes/src/delegate/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::Place;
 use pearford_types::Session;
--- a/crates/homes/src/hub/tests.rs
+++ b/crates/homes/src/hub/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::messages::Same;
 use pearford_types::Session;
--- a/crates/homes/src/rule/tests.rs
+++ b/crates/homes/src/rule/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use std::collections::BTreeMap;
 
--- a/crates/nomad/src/door/tokens/tests.rs
+++ b/crates/nomad/src/door/tokens/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn token(name: &str, secret: &str, namespaces: &[&str], write: bool) -> Token {
--- a/crates/recovery/src/pace/tests.rs
+++ b/crates/recovery/src/pace/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const T: fn(u64) -> Time = Time::from_ms;
--- a/crates/recovery/src/table/tests.rs
+++ b/crates/recovery/src/table/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const STORED: [Stored; 8] = [
--- a/crates/scheduler/src/compat/tests.rs
+++ b/crates/scheduler/src/compat/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::blocks::{PeerMessage, decode, encode};
 use crate::jobs::{self, JobSpec, OpenJob, Priority, Record, Shape};
--- a/crates/scheduler/src/feature/records/tests.rs
+++ b/crates/scheduler/src/feature/records/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 /// A watch that came too late is followed by a full read: what was removed meanwhile must go, and
--- a/crates/scheduler/src/fleet/tests.rs
+++ b/crates/scheduler/src/fleet/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn market() -> Market {
--- a/crates/scheduler/src/jobs/graph/tests.rs
+++ b/crates/scheduler/src/jobs/graph/tests.rs
@@ -1,4 +1,3 @@
-
 use super::super::{Mirror, OpenJob, Record};
 use super::*;
 use crate::types::{Stamp, Wall};
--- a/crates/scheduler/src/jobs/tests.rs
+++ b/crates/scheduler/src/jobs/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 pub fn spec() -> JobSpec {
--- a/crates/scheduler/src/ledger/tests.rs
+++ b/crates/scheduler/src/ledger/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 /// The state service's next limit is an eighth of the present one; a machine full of small tasks
--- a/crates/scheduler/src/node/master/changes/tests.rs
+++ b/crates/scheduler/src/node/master/changes/tests.rs
@@ -1,4 +1,3 @@
-
 use super::super::stock::tests::{master, report};
 use super::*;
 
--- a/crates/scheduler/src/node/master/stock/tests.rs
+++ b/crates/scheduler/src/node/master/stock/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::wire::workers::Report;
 
--- a/crates/scheduler/src/placement/tests.rs
+++ b/crates/scheduler/src/placement/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/crates/scheduler/src/preemption/tests.rs
+++ b/crates/scheduler/src/preemption/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn candidate(id: &str, free: f64, victims: &[(f64, f64)], fetch_s: f64) -> Candidate {
--- a/crates/scheduler/src/settings/tests.rs
+++ b/crates/scheduler/src/settings/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn keys(platform: &str, operator: Option<&str>) -> Vec<String> {
--- a/crates/scheduler/src/wire/users/tests.rs
+++ b/crates/scheduler/src/wire/users/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const GOOD: &str = r#"{"id":"req-000412","job_class":"train","owner":"vision","shape":"ensemble","urgency":"urgent","shards":16,
--- a/crates/scheduler/src/workers/tests.rs
+++ b/crates/scheduler/src/workers/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn machine_with(state: EntryState) -> (Machine, TaskId) {
