--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -19,6 +19,9 @@
             ready_s: 30.0,
             boots_in_s: 18.0,
             per_zone: 7,
+            spot_per_zone: 5,
+            hourly: 6.52,
+            low_price: 2.45,
         }],
         teams: vec![("core-1", 8.0, 16.0), ("core-2", 8.0, 16.0)],
         report_s: 3.0,
@@ -34,16 +37,34 @@
 fn tremorline() -> Facts {
     Facts {
         zones: vec!["puget", "columbia", "olympic"],
-        flavors: vec![Flavor {
-            name: "basalt",
-            vcpus: 24.0,
-            accelerators: 2.0,
-            memory_gb: 192.0,
-            pull_gb_per_s: 0.2,
-            ready_s: 35.0,
-            boots_in_s: 21.0,
-            per_zone: 7,
-        }],
+        flavors: vec![
+            Flavor {
+                name: "basalt",
+                vcpus: 24.0,
+                accelerators: 2.0,
+                memory_gb: 192.0,
+                pull_gb_per_s: 0.2,
+                ready_s: 35.0,
+                boots_in_s: 21.0,
+                per_zone: 5,
+                spot_per_zone: 1,
+                hourly: 6.79,
+                low_price: 2.86,
+            },
+            Flavor {
+                name: "andesite",
+                vcpus: 64.0,
+                accelerators: 8.0,
+                memory_gb: 256.0,
+                pull_gb_per_s: 0.6,
+                ready_s: 50.0,
+                boots_in_s: 30.0,
+                per_zone: 2,
+                spot_per_zone: 1,
+                hourly: 21.04,
+                low_price: 8.43,
+            },
+        ],
         teams: vec![("station-ops", 16.0, 184.0), ("cataloguers", 24.0, 48.0)],
         report_s: 4.0,
         lease_s: 18.0,
@@ -130,6 +151,8 @@
         image_gb: 1.0,
         expected_s: 10.0,
         awaits: Vec::new(),
+        region: None,
+        preemptible: false,
     }
 }
 
@@ -138,6 +161,7 @@
         "gang" => gang(folder, trouble),
         "limits" => limits(folder, trouble),
         "hang" => hang(folder, trouble),
+        "spot" => spot(folder, trouble),
         _ => 2,
     }
 }
@@ -158,7 +182,10 @@
     std::thread::sleep(Duration::from_secs(8));
     let shards = std::env::var("GANG").ok().and_then(|n| n.parse().ok()).unwrap_or(400_u64);
     if trouble {
-        let gang = Spec { class: "pricetrain", ..job(2, "ensemble", shards, 12.0 / shards as f64, 0.0, 8.0 / shards as f64) };
+        let gang = Spec {
+            class: "pricetrain",
+            ..job(2, "ensemble", shards, 12.0 / shards as f64, 0.0, 8.0 / shards as f64)
+        };
         if bench.users.submit(&gang) != 201 {
             return 2;
         }
@@ -240,7 +267,8 @@
     let deadline = Instant::now() + Duration::from_secs(15);
     let on_machines = |bench: &Bench| -> Vec<(String, String)> {
         let world = bench.platform.lock();
-        let tasks = world.machines.values().flat_map(|m| m.tasks.iter().map(|task| (m.id.clone(), task.clone())));
+        let tasks =
+            world.machines.values().flat_map(|m| m.tasks.iter().map(|task| (m.id.clone(), task.clone())));
         tasks.filter(|(_, task)| task.present()).map(|(id, task)| (id, task.name)).collect()
     };
     while on_machines(&bench).len() < machines && Instant::now() < deadline {
@@ -248,7 +276,9 @@
     }
     std::thread::sleep(Duration::from_secs(5));
     let placed = on_machines(&bench);
-    let Some((machine, task)) = placed.first().cloned().filter(|_| placed.len() >= machines) else { return 2 };
+    let Some((machine, task)) = placed.first().cloned().filter(|_| placed.len() >= machines) else {
+        return 2;
+    };
     let set_hung = |bench: &Bench, hung: bool| {
         let mut world = bench.platform.lock();
         if let Some(known) = world.machines.get_mut(&machine) {
@@ -305,3 +335,39 @@
     std::thread::sleep(Duration::from_secs(1));
     bench.finish(&["ran_cancelled"])
 }
+
+/// Jobs that may use cheap machines, while the cloud has no cheap ones of their type and zone to give.
+fn spot(folder: &Path, trouble: bool) -> i32 {
+    let facts = Facts { report_s: 3.0, ..tremorline() };
+    let mut bench = Bench::new("spot", folder, facts, "");
+    if trouble {
+        let key = ("andesite".to_string(), "columbia".to_string());
+        bench.platform.lock().shares.insert(key, (0.5, 0.5));
+        bench.note(
+            "trouble: andesite in columbia: half of 2 ordinary machines and of 1 spot machine to be had",
+        );
+    }
+    if !bench.start() {
+        return 2;
+    }
+    for id in 1..=2 {
+        let array = Spec {
+            class: "rescore",
+            owner: "cataloguers",
+            region: Some("columbia"),
+            preemptible: true,
+            expected_s: 35.0,
+            ..job(id, "array", 1, 24.0, 4.0, 96.0)
+        };
+        if bench.users.submit(&array) != 201 {
+            return 2;
+        }
+    }
+    watch(&mut bench, 1..3, Duration::from_secs(108));
+    let started: u64 = bench.platform.lock().jobs.values().map(|job| job.starts).sum();
+    bench.note(&format!("{started} tasks were started"));
+    if started == 0 {
+        bench.platform.lock().fail("nothing_ran: no task was started".into());
+    }
+    bench.finish(&["nothing_ran"])
+}
--- a/review/stand/cluster.rs
+++ b/review/stand/cluster.rs
@@ -12,9 +12,8 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
-pub const SIGKILL: i32 = 9;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
+/// Lets a stopped process go on, so that it can be ended.
+const SIGCONT: i32 = 18;
 
 pub struct Node {
     pub name: String,
@@ -40,11 +39,6 @@
     pub peers: Vec<SocketAddr>,
 }
 
-pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
 /// `run` of the deploy file, as words.
 fn run_command(root: &Path) -> Vec<String> {
     let text = std::fs::read_to_string(root.join("deploy/service.toml")).expect("deploy/service.toml");
@@ -74,19 +68,33 @@
             let zone = |index: usize| facts.zones[index % facts.zones.len()];
             let mut text = format!(
                 "node = \"{}\"\nsite = \"{}\"\napi_addr = \"{}\"\nback = \"{}\"\n",
-                node.name, zone(index), node.api, node.back
+                node.name,
+                zone(index),
+                node.api,
+                node.back
             );
             for (peer, other) in self.nodes.iter().enumerate().filter(|(peer, _)| *peer != index) {
                 text += &format!(
                     "[[seeds]]\nnode = \"{}\"\nsite = \"{}\"\npeer_addr = \"{}\"\n",
-                    other.name, zone(peer), around[index].peers[peer]
+                    other.name,
+                    zone(peer),
+                    around[index].peers[peer]
                 );
             }
-            text += &format!("[outside]\ncloud = \"{}\"\nstate = \"{}\"\n", around[index].cloud, around[index].state);
+            text += &format!(
+                "[outside]\ncloud = \"{}\"\nstate = \"{}\"\n",
+                around[index].cloud, around[index].state
+            );
             let zones: Vec<String> = facts.zones.iter().map(|zone| format!("\"{zone}\"")).collect();
-            text += &format!("[facts]\ninitial_size = {}\nzones = [{}]\ntime_bound_ms = 25.0\n", self.nodes.len(), zones.join(", "));
+            text += &format!(
+                "[facts]\ninitial_size = {}\nzones = [{}]\ntime_bound_ms = 25.0\n",
+                self.nodes.len(),
+                zones.join(", ")
+            );
             for (name, gpus, most) in &facts.teams {
-                text += &format!("[[facts.teams]]\nname = \"{name}\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = {gpus:?}\ngpus_max = {most:?}\n");
+                text += &format!(
+                    "[[facts.teams]]\nname = \"{name}\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = {gpus:?}\ngpus_max = {most:?}\n"
+                );
             }
             text += &format!(
                 "[facts.workers]\nreport_s = {:?}\nlease_s = {:?}\ngang_wait_s = {:?}\ngang_peer_s = {:?}\ncancel_s = {:?}\n",
@@ -94,7 +102,10 @@
             );
             text += &format!(
                 "[facts.state]\nrps = {:?}\nwrite_rps = {:?}\nvalue_kb = {:?}\ntxn_ops = {}\n{extra_state}",
-                limits.rps, limits.write_rps, limits.value_bytes as f64 / 1024.0, limits.txn_ops
+                limits.rps,
+                limits.write_rps,
+                limits.value_bytes as f64 / 1024.0,
+                limits.txn_ops
             );
             text += &format!("[facts.cloud]\nrps = 10.0\nlist_lag_s = {:?}\n", facts.list_lag_s);
             text += "[facts.machine_limits]\ncpu_share = 0.08\nram_mb = 136.0\nmax_connections = 2500\n";
@@ -115,7 +126,7 @@
         node.child = Some(child.expect("the controller starts"));
     }
 
-    pub fn signal(&self, index: usize, signal: i32) {
+    fn signal(&self, index: usize, signal: i32) {
         if let Some(child) = &self.nodes[index].child {
             unsafe { kill(child.id() as i32, signal) };
         }
@@ -156,7 +167,8 @@
         let deadline = Instant::now() + within;
         while Instant::now() < deadline {
             let up = |node: &Node| {
-                http::call(node.api, "GET", "/up", "", Duration::from_secs(1)).is_some_and(|answer| answer.0 == 200)
+                http::call(node.api, "GET", "/up", "", Duration::from_secs(1))
+                    .is_some_and(|answer| answer.0 == 200)
             };
             if self.nodes.iter().all(up) {
                 return true;
@@ -192,6 +204,8 @@
     pub image_gb: f64,
     pub expected_s: f64,
     pub awaits: Vec<String>,
+    pub region: Option<&'static str>,
+    pub preemptible: bool,
 }
 
 impl Spec {
@@ -209,10 +223,10 @@
             ("bundle", string(self.bundle)),
             ("image_gb", num(format!("{:?}", self.image_gb))),
             ("flavors", Json::Null),
-            ("region", Json::Null),
+            ("region", self.region.map_or(Json::Null, string)),
             ("together", Json::Bool(false)),
             ("spread", Json::Bool(false)),
-            ("preemptible", Json::Bool(false)),
+            ("preemptible", Json::Bool(self.preemptible)),
             ("expected_s", num(format!("{:?}", self.expected_s))),
             ("snapshot_every_s", num("0.0")),
             ("snapshot_s", num("0.0")),
@@ -286,7 +300,8 @@
         loop {
             let node = self.next();
             let path = format!("/submissions/{id}/withdraw");
-            let (status, answer) = http::call(node, "POST", &path, "", Duration::from_secs(5)).unwrap_or((0, String::new()));
+            let (status, answer) =
+                http::call(node, "POST", &path, "", Duration::from_secs(5)).unwrap_or((0, String::new()));
             self.platform.lock().note(&format!("user: withdraw {id} -> {status} {}", short(&answer)));
             if status == 200 {
                 self.told(id, &answer, false);
@@ -300,7 +315,8 @@
 
     /// Judges an answer about a job against earlier answers and what ran.
     fn told(&mut self, id: &str, answer: &str, submitting: bool) {
-        let phase = Json::parse(answer).map(|answer| answer.get("phase").str().to_string()).unwrap_or_default();
+        let phase =
+            Json::parse(answer).map(|answer| answer.get("phase").str().to_string()).unwrap_or_default();
         let mut world = self.platform.lock();
         let all_done = world.all_done(id);
         let asked = world.asked_to_cancel(id);
--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -96,7 +96,13 @@
 }
 
 /// Sends one request; `None` without a complete response in time.
-pub fn call(addr: SocketAddr, method: &str, path: &str, body: &str, timeout: Duration) -> Option<(u16, String)> {
+pub fn call(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    timeout: Duration,
+) -> Option<(u16, String)> {
     let deadline = Instant::now() + timeout;
     let stream = TcpStream::connect_timeout(&addr, timeout).ok()?;
     stream.set_nodelay(true).ok()?;
--- a/review/stand/json.rs
+++ b/review/stand/json.rs
@@ -15,7 +15,9 @@
 impl Json {
     pub fn get(&self, key: &str) -> &Json {
         match self {
-            Json::Obj(fields) => fields.iter().find(|(name, _)| name == key).map_or(&NULL, |(_, value)| value),
+            Json::Obj(fields) => {
+                fields.iter().find(|(name, _)| name == key).map_or(&NULL, |(_, value)| value)
+            }
             _ => &NULL,
         }
     }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -15,6 +15,7 @@
         eprintln!("standins CASE FOLDER");
         std::process::exit(2);
     };
-    let code = std::panic::catch_unwind(|| cases::run(case, std::path::Path::new(folder), trouble)).unwrap_or(2);
+    let code =
+        std::panic::catch_unwind(|| cases::run(case, std::path::Path::new(folder), trouble)).unwrap_or(2);
     std::process::exit(code);
 }
--- a/review/stand/platform.rs
+++ b/review/stand/platform.rs
@@ -21,8 +21,11 @@
     pub ready_s: f64,
     /// Seconds that a machine takes to boot here.
     pub boots_in_s: f64,
-    /// Machines to be had in each zone.
+    /// Machines to be had in each zone, ordinary and spot.
     pub per_zone: usize,
+    pub spot_per_zone: usize,
+    pub hourly: f64,
+    pub low_price: f64,
 }
 
 #[derive(Clone)]
@@ -77,7 +80,6 @@
     addr: Option<SocketAddr>,
     rented: Instant,
     up_at: Instant,
-    pub gone: bool,
     pub hung: bool,
     /// Reports of this worker reach no node.
     pub mute: bool,
@@ -122,6 +124,8 @@
     pub broken: Vec<String>,
     record: std::fs::File,
     pub cloud_down: bool,
+    /// The share of the machines of a type in a zone that the cloud has to give, ordinary and spot.
+    pub shares: BTreeMap<(String, String), (f64, f64)>,
     pub rented: u64,
     pub released: u64,
 }
@@ -144,6 +148,7 @@
             broken: Vec::new(),
             record,
             cloud_down: false,
+            shares: BTreeMap::new(),
             rented: 0,
             released: 0,
         };
@@ -185,7 +190,6 @@
             addr: None,
             rented: now,
             up_at,
-            gone: false,
             hung: false,
             mute: false,
             tenure: 1,
@@ -241,25 +245,49 @@
             let (flavor, free, zone) = {
                 let world = self.lock();
                 let zone = world.facts.zones.iter().find(|zone| **zone == body.get("region").str()).copied();
-                let flavor = world.facts.flavors.iter().find(|flavor| flavor.name == body.get("flavor").str()).cloned();
+                let flavor = world
+                    .facts
+                    .flavors
+                    .iter()
+                    .find(|flavor| flavor.name == body.get("flavor").str())
+                    .cloned();
                 let (Some(zone), Some(flavor)) = (zone, flavor) else { return Vec::new() };
-                let used = world.machines.values().filter(|m| m.zone == zone && m.flavor.name == flavor.name).count();
-                let free = flavor.per_zone.saturating_sub(used);
+                let spot = body.get("preemptible").bool();
+                let same = |m: &&Machine| m.zone == zone && m.flavor.name == flavor.name && m.spot == spot;
+                let used = world.machines.values().filter(same).count();
+                let key = (flavor.name.to_string(), zone.to_string());
+                let (ordinary, cheap) = world.shares.get(&key).copied().unwrap_or((1.0, 1.0));
+                let most = if spot {
+                    flavor.spot_per_zone as f64 * cheap
+                } else {
+                    flavor.per_zone as f64 * ordinary
+                };
+                let free = (most as usize).saturating_sub(used);
                 (flavor, free, zone)
             };
             let number = (body.get("number").u64().unwrap_or(1) as usize).min(free).min(50);
             let hosts: Vec<String> = (0..number)
-                .map(|_| self.add_machine(flavor.name, zone, body.get("preemptible").bool(), flavor.boots_in_s))
+                .map(|_| {
+                    self.add_machine(flavor.name, zone, body.get("preemptible").bool(), flavor.boots_in_s)
+                })
                 .collect();
             if !hosts.is_empty() {
                 let mut world = self.lock();
                 world.rented += hosts.len() as u64;
                 world.claims.insert(claim.clone(), hosts.clone());
-                world.note(&format!("cloud: rented {} {} in {zone}", hosts.join(" "), flavor.name));
+                let kind = if body.get("preemptible").bool() { "spot" } else { "ordinary" };
+                world.note(&format!("cloud: rented {} {} in {zone}, {kind}", hosts.join(" "), flavor.name));
             }
             hosts
         });
         if hosts.is_empty() {
+            let text = format!(
+                "cloud: no capacity: {} {} {}",
+                body.get("flavor").str(),
+                body.get("region").str(),
+                if body.get("preemptible").bool() { "spot" } else { "ordinary" }
+            );
+            self.lock().note(&text);
             return (503, obj(vec![("error", string("no capacity"))]).text());
         }
         (200, obj(vec![("hosts", Json::Arr(hosts.into_iter().map(string).collect()))]).text())
@@ -354,8 +382,8 @@
                 ("memory_gb", num(flavor.memory_gb)),
                 ("local_gb", num(150.0)),
                 ("pull_gb_per_s", num(flavor.pull_gb_per_s)),
-                ("hourly", num(6.52)),
-                ("low_price", num(2.45)),
+                ("hourly", num(flavor.hourly)),
+                ("low_price", num(flavor.low_price)),
                 ("ready_s", num(flavor.ready_s)),
                 ("regions", Json::Arr(self.facts.zones.iter().map(|zone| string(*zone)).collect())),
             ])
@@ -386,9 +414,11 @@
         for machine in self.machines.values().filter(|machine| machine.rented.elapsed() >= lag) {
             all.insert(machine.id.clone(), Self::listed(machine));
         }
-        let after: Vec<Json> = all.into_iter().filter(|(id, _)| id.as_str() > from).map(|(_, json)| json).collect();
+        let after: Vec<Json> =
+            all.into_iter().filter(|(id, _)| id.as_str() > from).map(|(_, json)| json).collect();
         let more = after.len() > most;
-        obj(vec![("hosts", Json::Arr(after.into_iter().take(most).collect())), ("more", Json::Bool(more))]).text()
+        obj(vec![("hosts", Json::Arr(after.into_iter().take(most).collect())), ("more", Json::Bool(more))])
+            .text()
     }
 
     pub fn end_machine(&mut self, id: &str, why: &str) {
@@ -410,8 +440,11 @@
                 Phase::Running(_) => ("running", None),
                 Phase::Ended(cause) => ("ended", Some(cause)),
             };
-            let mut fields =
-                vec![("shard", string(task.name.clone())), ("try", num(task.attempt)), ("phase", string(phase))];
+            let mut fields = vec![
+                ("shard", string(task.name.clone())),
+                ("try", num(task.attempt)),
+                ("phase", string(phase)),
+            ];
             if let Some(cause) = cause {
                 fields.push(("cause", string(cause)));
             }
@@ -432,7 +465,14 @@
         .text()
     }
 
-    fn report_answered(&mut self, id: &str, sent: Instant, tenure: u64, node: usize, answer: Option<(u16, String)>) {
+    fn report_answered(
+        &mut self,
+        id: &str,
+        sent: Instant,
+        tenure: u64,
+        node: usize,
+        answer: Option<(u16, String)>,
+    ) {
         let now = Instant::now();
         let report_s = self.facts.report_s;
         let nodes = self.nodes.len();
@@ -486,7 +526,8 @@
                 "start" => self.start_task(id, &name, attempt, how),
                 "stop" => {
                     let Some(machine) = self.machines.get_mut(id) else { return };
-                    let task = machine.tasks.iter_mut().find(|task| task.name == name && task.attempt == attempt);
+                    let task =
+                        machine.tasks.iter_mut().find(|task| task.name == name && task.attempt == attempt);
                     if let Some(task) = task.filter(|task| !task.ended()) {
                         task.phase = Phase::Ended("stopped");
                         Self::changed(machine);
@@ -495,7 +536,9 @@
                 }
                 "forget" => {
                     let Some(machine) = self.machines.get_mut(id) else { return };
-                    machine.tasks.retain(|task| task.name != name || task.attempt != attempt || !task.ended());
+                    machine
+                        .tasks
+                        .retain(|task| task.name != name || task.attempt != attempt || !task.ended());
                 }
                 _ => {}
             }
@@ -590,10 +633,13 @@
             let bundles: BTreeMap<String, String> = {
                 let machine = &self.machines[&id];
                 let names = machine.tasks.iter().map(|task| task.job().to_string());
-                names.filter_map(|job| Some((job.clone(), self.body(&job)?.get("bundle").str().to_string()))).collect()
+                names
+                    .filter_map(|job| Some((job.clone(), self.body(&job)?.get("bundle").str().to_string())))
+                    .collect()
             };
             let machine = self.machines.get_mut(&id).unwrap();
-            let wanted: BTreeMap<String, f64> = images.into_iter().filter(|(image, _)| !machine.images.contains(image)).collect();
+            let wanted: BTreeMap<String, f64> =
+                images.into_iter().filter(|(image, _)| !machine.images.contains(image)).collect();
             machine.fetches.retain(|image, _| wanted.contains_key(image));
             for (image, gb) in &wanted {
                 machine.fetches.entry(image.clone()).or_insert(*gb);
@@ -635,7 +681,8 @@
             }
         }
         let flavors = body.get("flavors").arr();
-        let flavor_ok = body.get("flavors").is_null() || flavors.iter().any(|f| f.str() == machine.flavor.name);
+        let flavor_ok =
+            body.get("flavors").is_null() || flavors.iter().any(|f| f.str() == machine.flavor.name);
         let zone_ok = body.get("region").is_null() || body.get("region").str() == machine.zone;
         let kind_ok = !machine.spot || body.get("preemptible").bool();
         let others = |same: bool| {
@@ -665,7 +712,8 @@
         let done = self.done.contains(name);
         let now = Instant::now();
         let machine = self.machines.get_mut(id).unwrap();
-        for task in machine.tasks.iter_mut().filter(|task| task.name == name && task.phase == Phase::Fetching) {
+        for task in machine.tasks.iter_mut().filter(|task| task.name == name && task.phase == Phase::Fetching)
+        {
             task.phase = match (done, gang) {
                 (true, _) => Phase::Ended("done"),
                 (_, true) => Phase::Waiting(now),
@@ -717,8 +765,12 @@
             }
         }
         let jobs = &self.jobs;
-        let shards = |job: &str| jobs.get(job).and_then(|j| j.body.as_ref()).and_then(|b| b.get("shards").u64()).unwrap_or(0);
-        let gang = |job: &str| jobs.get(job).and_then(|j| j.body.as_ref()).is_some_and(|b| b.get("shape").str() == "ensemble");
+        let shards = |job: &str| {
+            jobs.get(job).and_then(|j| j.body.as_ref()).and_then(|b| b.get("shards").u64()).unwrap_or(0)
+        };
+        let gang = |job: &str| {
+            jobs.get(job).and_then(|j| j.body.as_ref()).is_some_and(|b| b.get("shape").str() == "ensemble")
+        };
         let (wait, peer) = (self.facts.gang_wait_s, self.facts.gang_peer_s);
         for machine in self.machines.values_mut().filter(|machine| !machine.hung) {
             let mut changed = false;
@@ -760,11 +812,16 @@
         for (id, job) in &self.jobs {
             if let Some(body) = &job.body {
                 if body.get("shape").str() != "daemon" {
-                    finished.push((id.clone(), body.get("shape").str() == "ensemble", body.get("expected_s").f64()));
+                    finished.push((
+                        id.clone(),
+                        body.get("shape").str() == "ensemble",
+                        body.get("expected_s").f64(),
+                    ));
                 }
             }
         }
-        let length: BTreeMap<String, (bool, f64)> = finished.into_iter().map(|(id, gang, s)| (id, (gang, s))).collect();
+        let length: BTreeMap<String, (bool, f64)> =
+            finished.into_iter().map(|(id, gang, s)| (id, (gang, s))).collect();
         for machine in self.machines.values_mut().filter(|machine| !machine.hung) {
             let mut changed = false;
             for task in machine.tasks.iter_mut() {
@@ -822,7 +879,9 @@
         }
         let mut waits: Vec<(String, bool)> = Vec::new();
         for (id, job) in &self.jobs {
-            let (Some(body), Some(_), None, false) = (&job.body, job.accepted, &job.terminal, job.asked_to_cancel) else {
+            let (Some(body), Some(_), None, false) =
+                (&job.body, job.accepted, &job.terminal, job.asked_to_cancel)
+            else {
                 continue;
             };
             if !body.get("awaits").arr().iter().all(|needed| self.all_done(needed.str())) {
@@ -833,7 +892,12 @@
             let waiting = shards.saturating_sub(done + placed.get(id).copied().unwrap_or(0));
             let gang = body.get("shape").str() == "ensemble";
             let needed = if gang { shards } else { 1 };
-            let limit = self.facts.teams.iter().find(|team| team.0 == body.get("owner").str()).map_or(0.0, |team| team.2);
+            let limit = self
+                .facts
+                .teams
+                .iter()
+                .find(|team| team.0 == body.get("owner").str())
+                .map_or(0.0, |team| team.2);
             let under_limit = occupied.get(body.get("owner").str()).copied().unwrap_or(0.0)
                 + needed as f64 * body.get("accelerators").f64()
                 <= limit + EPS;
@@ -845,7 +909,9 @@
                 .filter(|m| !m.spot || body.get("preemptible").bool())
                 .map(|m| {
                     let (free, need) = (self.free(m), Self::need(body));
-                    let fits = |i: usize| if need[i] > 0.0 { ((free[i] + EPS) / need[i]).max(0.0) as u64 } else { u64::MAX };
+                    let fits = |i: usize| {
+                        if need[i] > 0.0 { ((free[i] + EPS) / need[i]).max(0.0) as u64 } else { u64::MAX }
+                    };
                     fits(0).min(fits(1)).min(fits(2)).min(100_000)
                 })
                 .sum();
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -75,10 +75,6 @@
         self.0.0.lock().unwrap().limits = limits;
     }
 
-    pub fn value(&self, key: &str) -> Option<Json> {
-        self.0.0.lock().unwrap().entries.get(key).map(|entry| entry.value.clone())
-    }
-
     /// (429s, 400s for size) so far.
     pub fn refusals(&self) -> (u64, u64) {
         let state = self.0.0.lock().unwrap();
@@ -174,7 +170,8 @@
 
     fn expire(&mut self) -> bool {
         let now = Instant::now();
-        let ended: Vec<u64> = self.grants.iter().filter(|(_, grant)| grant.1 < now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> =
+            self.grants.iter().filter(|(_, grant)| grant.1 < now).map(|(id, _)| *id).collect();
         ended.iter().for_each(|id| self.end_grant(*id));
         !ended.is_empty()
     }
@@ -208,7 +205,12 @@
         match self.entries.get(key) {
             Some(entry) => {
                 let permit = entry.permit.map_or(Json::Null, num);
-                let body = vec![("k", string(key)), ("v", entry.value.clone()), ("stamp", num(entry.stamp)), ("permit", permit)];
+                let body = vec![
+                    ("k", string(key)),
+                    ("v", entry.value.clone()),
+                    ("stamp", num(entry.stamp)),
+                    ("permit", permit),
+                ];
                 (200, obj(body).text())
             }
             None => (404, obj(vec![("epoch", num(self.epoch))]).text()),
@@ -236,7 +238,11 @@
             bytes += pair.text().len();
             pairs.push(pair);
         }
-        (200, obj(vec![("pairs", Json::Arr(pairs)), ("more", Json::Bool(more)), ("epoch", num(self.epoch))]).text())
+        (
+            200,
+            obj(vec![("pairs", Json::Arr(pairs)), ("more", Json::Bool(more)), ("epoch", num(self.epoch))])
+                .text(),
+        )
     }
 
     fn multi(&mut self, text: &str) -> (u16, String) {
@@ -247,12 +253,20 @@
             return (429, "{}".into());
         }
         let oversized = changes.iter().any(|change| change.get("v").text().len() > self.limits.value_bytes);
-        if oversized || text.len() > 64 * 1024 || changes.len() > self.limits.txn_ops || conditions.len() > 4 * self.limits.txn_ops {
+        if oversized
+            || text.len() > 64 * 1024
+            || changes.len() > self.limits.txn_ops
+            || conditions.len() > 4 * self.limits.txn_ops
+        {
             self.too_large += 1;
             return (400, obj(vec![("error", string("too large"))]).text());
         }
         self.write_tokens -= changes.len() as f64;
-        if changes.iter().filter_map(|change| change.get("permit").u64()).any(|id| !self.grants.contains_key(&id)) {
+        if changes
+            .iter()
+            .filter_map(|change| change.get("permit").u64())
+            .any(|id| !self.grants.contains_key(&id))
+        {
             return (400, obj(vec![("error", string("no such lease"))]).text());
         }
         let failed: Vec<Json> = conditions
@@ -271,8 +285,13 @@
         }
         for change in changes {
             if let Json::Str(key) = change.get("set") {
-                let entry = Entry { value: change.get("v").clone(), stamp: self.epoch, permit: change.get("permit").u64() };
-                let event = obj(vec![("set", string(key)), ("v", entry.value.clone()), ("stamp", num(self.epoch))]);
+                let entry = Entry {
+                    value: change.get("v").clone(),
+                    stamp: self.epoch,
+                    permit: change.get("permit").u64(),
+                };
+                let event =
+                    obj(vec![("set", string(key)), ("v", entry.value.clone()), ("stamp", num(self.epoch))]);
                 self.entries.insert(key.clone(), entry);
                 self.add_news(key, event);
             } else if let Json::Str(key) = change.get("drop") {
