--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Jobs that may use cheap machines, while the cloud has no cheap ones of their type and zone to give.
+# One valid gang of small tasks, and then ordinary jobs of another team.
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standins ] && [ -x target/release/pearford ] || exit 2
-exec target/review/standins spot "${RECORD_DIR:-review/2}"
+exec target/review/standins gang "${RECORD_DIR:-review/2}"
--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -153,15 +153,19 @@
         awaits: Vec::new(),
         region: None,
         preemptible: false,
+        together: false,
     }
 }
 
+/// The cases of `review/N`: `restart`, `gang`, `spot`. The others are those that the report tells of beside them.
 pub fn run(case: &str, folder: &Path, trouble: bool) -> i32 {
     match case {
         "gang" => gang(folder, trouble),
         "limits" => limits(folder, trouble),
         "hang" => hang(folder, trouble),
         "spot" => spot(folder, trouble),
+        "restart" => restart(folder, trouble),
+        "zone" => zone(folder, trouble),
         _ => 2,
     }
 }
@@ -371,3 +375,108 @@
     }
     bench.finish(&["nothing_ran"])
 }
+
+/// Four weeks of finished jobs, and then all controllers crash once.
+fn restart(folder: &Path, trouble: bool) -> i32 {
+    let facts = Facts { report_s: 3.0, ..tremorline() };
+    let mut bench = Bench::new("restart", folder, facts, "");
+    // Records as the service leaves them of jobs that are over, at the 10 jobs a minute of the site.
+    let finished: u64 = std::env::var("FINISHED").ok().and_then(|n| n.parse().ok()).unwrap_or(400_000);
+    for id in 0..finished {
+        let value = if id % 16 == 0 { "withdrawn" } else { "done" };
+        bench.store.preload(format!("j/req-{:06}", 1_000_000 + id), crate::json::string(value));
+    }
+    bench.note(&format!("the state service holds the records of {finished} finished jobs"));
+    bench.platform.add_machine("basalt", "puget", false, 0.5);
+    let nodes = bench.cluster.nodes.len();
+    for index in 0..nodes {
+        bench.cluster.start(index);
+        let deadline = Instant::now() + Duration::from_secs(8);
+        while !bench.cluster.is_up(index) && Instant::now() < deadline {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let text = format!(
+            "worker-{index} started: up {}, {:.0} MB",
+            bench.cluster.is_up(index),
+            bench.cluster.memory_mb(index)
+        );
+        bench.note(&text);
+    }
+    if !bench.cluster.wait_up(Duration::from_secs(5)) {
+        return 2;
+    }
+    let array = Spec { owner: "station-ops", expected_s: 600.0, ..job(1, "array", 1, 6.0, 1.0, 24.0) };
+    if bench.users.submit(&array) != 201 {
+        return 2;
+    }
+    let deadline = Instant::now() + Duration::from_secs(15);
+    while bench.users.status(&array.id).as_deref() != Some("running") && Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    if trouble {
+        (0..nodes).for_each(|index| bench.cluster.kill(index));
+        bench.note("trouble: all controllers crash");
+        std::thread::sleep(Duration::from_secs(3));
+        (0..nodes).for_each(|index| bench.cluster.start(index));
+        bench.note("trouble: all controllers are back");
+    }
+    let mut answered = Instant::now();
+    let end = Instant::now() + Duration::from_secs(80);
+    let mut asked = 0;
+    while Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(1000));
+        asked += 1;
+        let status = bench.users.status(&array.id);
+        if status.is_some() {
+            answered = Instant::now();
+        }
+        if asked % 5 == 0 {
+            let up: Vec<bool> = (0..nodes).map(|index| bench.cluster.is_up(index)).collect();
+            let (refused, _) = bench.store.refusals();
+            bench.note(&format!(
+                "user: asks for {} -> {}; up {up:?}; 429 so far {refused}; leader {:?}",
+                array.id,
+                status.unwrap_or_else(|| "no answer".into()),
+                bench.cluster.leader()
+            ));
+        }
+        if answered.elapsed() >= Duration::from_secs(75) {
+            let text = format!("forgotten: no question about {} was answered for 75 s", array.id);
+            bench.platform.lock().fail(text);
+            break;
+        }
+    }
+    bench.finish(&["forgotten"])
+}
+
+/// A gang that has to be in one zone: one of its two tasks fits a machine there, and the cloud has no more machines
+/// in that zone, but has some in the others.
+fn zone(folder: &Path, trouble: bool) -> i32 {
+    let mut facts = Facts { report_s: 3.0, ..tremorline() };
+    facts.flavors.truncate(1);
+    facts.flavors[0].boots_in_s = 5.0;
+    let mut bench = Bench::new("zone", folder, facts, "");
+    if trouble {
+        let key = ("basalt".to_string(), "puget".to_string());
+        bench.platform.lock().shares.insert(key, (0.2, 0.0));
+        bench.note("trouble: the cloud has one basalt in puget");
+    }
+    bench.platform.add_machine("basalt", "puget", false, 0.5);
+    if !bench.start() {
+        return 2;
+    }
+    let daemon = Spec { urgency: "production", owner: "station-ops", ..job(1, "daemon", 1, 5.0, 1.0, 19.0) };
+    let gang = Spec { owner: "cataloguers", together: true, ..job(2, "ensemble", 2, 5.0, 1.0, 19.0) };
+    for spec in [daemon, gang] {
+        if bench.users.submit(&spec) != 201 {
+            return 2;
+        }
+        std::thread::sleep(Duration::from_secs(8));
+    }
+    watch(&mut bench, 1..3, Duration::from_secs(90));
+    let gang_starts = bench.platform.lock().jobs.get("req-000002").map_or(0, |job| job.starts);
+    if gang_starts == 0 {
+        bench.platform.lock().fail("never_started: the gang was accepted and not started".into());
+    }
+    bench.finish(&["never_started"])
+}
--- a/review/stand/cluster.rs
+++ b/review/stand/cluster.rs
@@ -139,6 +139,15 @@
         }
     }
 
+    /// Anonymous memory that a node's process holds, in MB.
+    pub fn memory_mb(&self, index: usize) -> f64 {
+        let id = self.nodes[index].child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"));
+        let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+        kb.unwrap_or(0.0) * 1024.0 / 1e6
+    }
+
     /// Whether the process has ended by itself.
     pub fn ended(&mut self, index: usize) -> bool {
         self.nodes[index].child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
@@ -162,6 +171,12 @@
         self.nodes.iter().map(|node| node.api).collect()
     }
 
+    /// Whether a node answers /up with 200.
+    pub fn is_up(&self, index: usize) -> bool {
+        http::call(self.nodes[index].api, "GET", "/up", "", Duration::from_secs(1))
+            .is_some_and(|answer| answer.0 == 200)
+    }
+
     /// Waits until every node answers /up with 200.
     pub fn wait_up(&self, within: Duration) -> bool {
         let deadline = Instant::now() + within;
@@ -206,6 +221,7 @@
     pub awaits: Vec<String>,
     pub region: Option<&'static str>,
     pub preemptible: bool,
+    pub together: bool,
 }
 
 impl Spec {
@@ -224,7 +240,7 @@
             ("image_gb", num(format!("{:?}", self.image_gb))),
             ("flavors", Json::Null),
             ("region", self.region.map_or(Json::Null, string)),
-            ("together", Json::Bool(false)),
+            ("together", Json::Bool(self.together)),
             ("spread", Json::Bool(false)),
             ("preemptible", Json::Bool(self.preemptible)),
             ("expected_s", num(format!("{:?}", self.expected_s))),
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -4,6 +4,7 @@
 use crate::json::{Json, num, obj, string};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,8 @@
 pub struct Store(Arc<(Mutex<State>, Condvar)>);
 
 const KEPT: usize = 10_000;
+/// How long an answer takes: `latency_ms` of the site files is 4.0 or 5.0.
+const LATENCY: Duration = Duration::from_millis(5);
 
 impl Store {
     pub fn start(limits: Limits) -> (Self, SocketAddr) {
@@ -71,6 +74,14 @@
         (store, addr)
     }
 
+    /// Adds a key that was written earlier.
+    pub fn preload(&self, key: String, value: Json) {
+        let mut state = self.0.0.lock().unwrap();
+        state.epoch += 1;
+        let stamp = state.epoch;
+        state.entries.insert(key, Entry { value, stamp, permit: None });
+    }
+
     pub fn set_limits(&self, limits: Limits) {
         self.0.0.lock().unwrap().limits = limits;
     }
@@ -82,6 +93,7 @@
     }
 
     fn answer(&self, request: &Request) -> Answer {
+        std::thread::sleep(LATENCY);
         let mut state = self.0.0.lock().unwrap();
         state.expire();
         if !state.take_request() {
@@ -223,13 +235,15 @@
         let mut pairs = Vec::new();
         let mut bytes = 0;
         let mut more = false;
-        for (key, entry) in self.entries.range(prefix.to_string()..) {
+        let first = if after > prefix {
+            Bound::Excluded(after.to_string())
+        } else {
+            Bound::Included(prefix.to_string())
+        };
+        for (key, entry) in self.entries.range((first, Bound::Unbounded)) {
             if !key.starts_with(prefix) {
                 break;
             }
-            if key.as_str() <= after && !after.is_empty() {
-                continue;
-            }
             if pairs.len() >= most || bytes > 500 * 1024 {
                 more = true;
                 break;
