--- a/review/stand/cluster.rs
+++ b/review/stand/cluster.rs
@@ -5,13 +5,18 @@
 use crate::platform::{Facts, Platform};
 use crate::store::Limits;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
+/// Has the system end a process when the one that started it ends, however that is.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
 /// Lets a stopped process go on, so that it can be ended.
 const SIGCONT: i32 = 18;
 
@@ -46,29 +51,22 @@
     line.split('"').nth(1).expect("a command").split_whitespace().map(String::from).collect()
 }
 
-/// A port that is free now, below those that outgoing connections get, so that a node finds it free again after a
-/// crash.
-fn free_port() -> u16 {
-    loop {
-        let time = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let nanos = time.map_or(0, |time| time.subsec_nanos());
-        let port = 18_000 + ((nanos / 7 + std::process::id() * 131) % 12_000) as u16;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            return port;
-        }
-    }
+/// Ports that are free now, below those that outgoing connections get, so that a node finds its own free again after
+/// a crash. Each process tries a block of its own first, so that runs at the same time don't meet.
+fn free_ports(count: usize) -> Vec<u16> {
+    const FIRST: u32 = 18_000;
+    const BLOCKS: u32 = 1_200;
+    const BLOCK: u32 = 10;
+    let own = std::process::id() % BLOCKS;
+    let blocks = (0..BLOCKS).map(|step| FIRST + (own + step) % BLOCKS * BLOCK);
+    let ports = blocks.flat_map(|first| (first..first + BLOCK).map(|port| port as u16));
+    ports.filter(|port| TcpListener::bind(("127.0.0.1", *port)).is_ok()).take(count).collect()
 }
 
 impl Cluster {
     /// Nodes with addresses, one in each zone in turn; none is started yet.
     pub fn new(root: &Path, folder: &Path, names: &[&str]) -> Self {
-        let mut ports = Vec::new();
-        while ports.len() < names.len() * 2 {
-            let port = free_port();
-            if !ports.contains(&port) {
-                ports.push(port);
-            }
-        }
+        let ports = free_ports(names.len() * 2);
         let addr = |index: usize| SocketAddr::from(([127, 0, 0, 1], ports[index]));
         let nodes = names.iter().enumerate().map(|(index, name)| Node {
             name: name.to_string(),
@@ -134,7 +132,15 @@
     pub fn start(&mut self, index: usize) {
         let node = &mut self.nodes[index];
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&node.log).expect("a log");
-        let child = Command::new(&self.run[0])
+        let mut command = Command::new(&self.run[0]);
+        // SAFETY: the call after the fork allocates nothing.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .args(&self.run[1..])
             .arg(&node.config)
             .stdin(Stdio::null())
