--- a/review/stand-2/long_file.rs
+++ b/review/stand-2/long_file.rs
@@ -3,7 +3,7 @@
 use crate::controllers::Controllers;
 use crate::http;
 use crate::json::Json;
-use crate::platform::Platform;
+use crate::platform::{Platform, Run};
 use crate::record::Record;
 use crate::sites;
 use crate::store::Store;
@@ -31,7 +31,7 @@
         controllers.start(node).setup()?;
     }
     let users = Users { nodes: controllers.api.clone(), record: record.clone() };
-    platform.jobs.lock().unwrap().insert("req-000001".into(), None);
+    platform.jobs.lock().unwrap().insert("req-000001".into(), Run::Forever);
     let service = users::submission(
         "req-000001",
         "picker",
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,9 +7,10 @@
 mod json;
 mod long_file;
 mod memory;
+mod mistakes;
+mod one_zone;
 mod platform;
 mod record;
-mod restart_all;
 mod sites;
 mod store;
 mod two_versions;
@@ -56,8 +57,9 @@
         std::process::exit(2);
     });
     let run: fn(&Path, &Record, bool) -> Result<Verdict, String> = match case.as_str() {
-        "restart-all" => restart_all::run,
         "two-versions" => two_versions::run,
+        "mistakes" => mistakes::run,
+        "one-zone" => one_zone::run,
         "memory" => memory::run,
         "long-file" => long_file::run,
         _ => |_, _, _| Err("no such case".into()),
--- a/review/stand-2/memory.rs
+++ b/review/stand-2/memory.rs
@@ -4,7 +4,7 @@
 //! than `ram_mb` and starts it again after 3 s.
 
 use crate::controllers::Controllers;
-use crate::platform::Platform;
+use crate::platform::{Platform, Run};
 use crate::record::Record;
 use crate::sites;
 use crate::store::{Limits, Store};
@@ -83,7 +83,7 @@
         BOUND.as_secs()
     ));
     if !trouble {
-        platform.jobs.lock().unwrap().insert("req-000001".into(), Some(Duration::from_millis(500)));
+        platform.jobs.lock().unwrap().insert("req-000001".into(), Run::For(Duration::from_millis(500)));
         let job = users::submission(
             "req-000001",
             "rescore",
--- a/review/stand-2/platform.rs
+++ b/review/stand-2/platform.rs
@@ -28,9 +28,19 @@
     pub regions: Vec<String>,
 }
 
-/// How long the tasks of a job run; none for services. Workers fetch a job's description themselves: it is what
-/// the users uploaded.
-pub type Jobs = Arc<Mutex<BTreeMap<String, Option<Duration>>>>;
+/// What the tasks of a job do once they have their image.
+#[derive(Clone, Copy)]
+pub enum Run {
+    /// They are done after this time.
+    For(Duration),
+    /// They run until they are stopped.
+    Forever,
+    /// They fail at once, as the job was submitted with a mistake.
+    Fails,
+}
+
+/// What the jobs' tasks do, by job. Workers fetch a job's description themselves: it is what the users uploaded.
+pub type Jobs = Arc<Mutex<BTreeMap<String, Run>>>;
 
 /// A task that is on its machine, or was.
 #[derive(Clone)]
@@ -46,6 +56,7 @@
     /// When the image is there.
     ready: Instant,
     ends: Option<Instant>,
+    cause_at_end: &'static str,
     phase: &'static str,
     cause: Option<&'static str>,
     stay: Option<usize>,
@@ -83,6 +94,8 @@
     nodes: Arc<Vec<(String, SocketAddr)>>,
     pub rentals: Arc<AtomicU64>,
     stop: Arc<AtomicBool>,
+    /// Zones where the cloud has no machine left to rent.
+    pub full: Arc<Mutex<Vec<&'static str>>>,
     record: Record,
 }
 
@@ -96,6 +109,7 @@
             nodes: Arc::new(nodes),
             rentals: Arc::default(),
             stop: Arc::default(),
+            full: Arc::default(),
             record,
         }
     }
@@ -182,6 +196,14 @@
                 }
                 let number = body.get("number").int().unwrap_or(0).min(50);
                 let region = body.get("region").text().unwrap_or_default();
+                let preemptible = body.get("preemptible").bool();
+                let full = self.full.lock().unwrap().contains(&region);
+                let kind = if preemptible { "spot" } else { "ordinary" };
+                let answer = if full { "no capacity" } else { "rented" };
+                self.record.line(&format!("cloud: {number} {kind} machines in {region}: {answer}"));
+                if full {
+                    return response(503, "{\"error\":\"no capacity\"}");
+                }
                 let hosts: Vec<String> = (0..number)
                     .map(|_| {
                         format!(
@@ -375,9 +397,10 @@
                 lines.push(format!("worker {host}: {shard} runs"));
             }
             if task.phase == "running" && task.ends.is_some_and(|ends| now >= ends) {
-                end(&self.stays, task, "done", now);
+                let cause = task.cause_at_end;
+                end(&self.stays, task, cause, now);
                 worker.changed = true;
-                lines.push(format!("worker {host}: {shard} done"));
+                lines.push(format!("worker {host}: {shard} {cause}"));
             }
         }
         lines.iter().for_each(|line| self.record.line(line));
@@ -400,13 +423,26 @@
                     let runs = self.jobs.lock().unwrap().get(job).copied();
                     // The native jobs of Nomad's names, whose ids only the service knows, are services here.
                     let is_part = job.len() == "req-".len() + 32;
-                    let Some(runs) = runs.or(is_part.then_some(None)) else { continue };
+                    let Some(runs) = runs.or(is_part.then_some(Run::Forever)) else { continue };
                     let ready = now + self.facts.fetch;
-                    let ends = runs.map(|runs| ready + runs);
+                    let ends = match runs {
+                        Run::For(time) => Some(ready + time),
+                        Run::Forever => None,
+                        Run::Fails => Some(ready),
+                    };
+                    let cause_at_end = if matches!(runs, Run::Fails) { "error" } else { "done" };
                     self.record.line(&format!("worker {}: start {shard}", worker.host));
                     worker.tasks.insert(
                         shard,
-                        Task { attempt, ready, ends, phase: "fetching", cause: None, stay: None },
+                        Task {
+                            attempt,
+                            ready,
+                            ends,
+                            cause_at_end,
+                            phase: "fetching",
+                            cause: None,
+                            stay: None,
+                        },
                     );
                     worker.changed = true;
                 }
--- a/review/stand-2/users.rs
+++ b/review/stand-2/users.rs
@@ -96,3 +96,12 @@
         "{{\"id\":\"{id}\",\"job_class\":\"{class}\",\"owner\":\"{owner}\",\"shape\":\"{shape}\",\"urgency\":\"{urgency}\",\"shards\":{shards},\"vcpus\":{vcpus:?},\"accelerators\":{accelerators:?},\"memory_gb\":{memory_gb:?},\"bundle\":\"img-01\",\"image_gb\":5.0,\"flavors\":null,\"region\":null,\"together\":false,\"spread\":false,\"preemptible\":false,\"expected_s\":{expected_s:?},\"snapshot_every_s\":0.0,\"snapshot_s\":0.0,\"due_s\":null}}"
     )
 }
+
+impl Users {
+    /// Cancels a job; whether the service confirmed that it is cancelled, or done.
+    pub fn withdraw(&self, id: &str) -> bool {
+        self.repeat(&format!("/submissions/{id}/withdraw"), "", |status, phase| {
+            status == 200 && matches!(phase, "withdrawn" | "done")
+        })
+    }
+}
