--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -64,13 +64,6 @@
     }
 }
 
-#[derive(Clone, Default, Debug)]
-pub struct Counts {
-    pub requests: u64,
-    pub answered_429: u64,
-    pub pages: u64,
-}
-
 struct State {
     epoch: u64,
     entries: BTreeMap<String, Entry>,
@@ -79,7 +72,6 @@
     last_grant: u64,
     requests: Bucket,
     writes: Bucket,
-    counts: Counts,
 }
 
 /// Delays an answer: for a request with this path and `under`, of a controller.
@@ -102,7 +94,6 @@
             last_grant: 0,
             requests: Bucket::new(limits.rps),
             writes: Bucket::new(limits.write_rps),
-            counts: Counts::default(),
         };
         let store = Self {
             limits,
@@ -128,10 +119,6 @@
         *self.delay.lock().unwrap() = delay.map(Arc::new);
     }
 
-    pub fn counts(&self) -> Counts {
-        self.lock().counts.clone()
-    }
-
     pub fn value(&self, key: &str) -> Option<Arc<str>> {
         self.lock().entries.get(key).map(|entry| entry.value.clone())
     }
@@ -171,9 +158,7 @@
     fn execute(&self, request: &Request) -> Option<Response> {
         {
             let mut state = self.lock();
-            state.counts.requests += 1;
             if !state.requests.take(1.0) {
-                state.counts.answered_429 += 1;
                 return response(429, "{\"error\":\"too many requests\"}");
             }
         }
@@ -235,8 +220,7 @@
         let from = request.query("from").unwrap_or_default().to_string();
         let most =
             request.query("most").and_then(|most| most.parse().ok()).unwrap_or(MAX_ITEMS).min(MAX_ITEMS);
-        let mut state = self.lock();
-        state.counts.pages += 1;
+        let state = self.lock();
         let begin =
             if from.as_str() < prefix { Bound::Included(prefix.to_string()) } else { Bound::Excluded(from) };
         let mut items = String::new();
@@ -272,7 +256,6 @@
             return malformed();
         }
         if !state.writes.take(apply.len() as f64) {
-            state.counts.answered_429 += 1;
             return response(429, "{\"error\":\"too many changes\"}");
         }
         let mut permits = apply.iter().filter_map(|change| change.get("permit").int());
