Machines on which jobs failed are tried again, and not blamed for jobs that fail everywhere

Cause: two different jobs failing on a machine set `draining`, which nothing took back: not that the jobs turned out to fail everywhere (which needed a fourth failure, impossible once all machines were drained), nor their cancellation, nor later successes. A drained machine with a replica is never empty and so never returned. A worker with more than 256 kept attempts set the same flag.

Evidence: the leader's log has "several jobs failed on this machine; draining it" for each of the six machines within 2.3 s of the acceptance, and nothing about them afterwards.

Change: draining is derived instead of stored. FailureHistory (jobs) attributes a failure to the machine or the job: a job that fails on a second machine while none of its tasks is done or runs elsewhere is at fault, and its failures are withdrawn from its machines, as they are when it is cancelled. FailedJobs (workers) suspends a machine for 60 s after the last failure that counts. Kept attempts are counted anew with each heartbeat. failure_attribution takes this out of task_outcomes and machine_health.

--- a/crates/scheduler/src/jobs/job_state.rs
+++ b/crates/scheduler/src/jobs/job_state.rs
@@ -1,5 +1,6 @@
 //! The leader's state of a job: which of its tasks are done, placed or waiting.
 
+use super::failure_history::FailureHistory;
 use super::record::OpenJob;
 use super::spec::{JobType, Priority};
 use crate::types::{Attempt, MachineId, MonotonicTime, NodeName};
@@ -141,8 +142,8 @@
     pub attempt: Option<Attempt>,
     /// When this leader added the job.
     pub known_since: MonotonicTime,
-    /// Consecutive failures that the job itself, rather than its machines, may have caused.
-    pub consecutive_failures: u32,
+    /// Its failures since one of its tasks was last done.
+    pub failures: FailureHistory,
     /// Until then no more tasks are preempted for it: either preempted tasks are still stopping, or the last
     /// search found none to preempt.
     pub preempting_until: Option<MonotonicTime>,
@@ -173,7 +174,7 @@
             not_before: MonotonicTime::default(),
             attempt: None,
             known_since: now,
-            consecutive_failures: 0,
+            failures: FailureHistory::default(),
             preempting_until: None,
             awaiting_preemption: 0,
             reason: WaitingReason::New,
--- a/crates/scheduler/src/node/controller/operator_pages.rs
+++ b/crates/scheduler/src/node/controller/operator_pages.rs
@@ -43,7 +43,7 @@
         lines.push(format!("pearford_jobs_awaiting {}", self.job_cache.graph().waiting_count()));
         let mut job_counters = self.job_counters.clone();
         if let Some(leader) = &self.leader {
-            leader.metrics(&mut lines);
+            leader.metrics(&mut lines, self.now);
             job_counters.add(leader.job_counters().clone());
         }
         job_counters.metrics(&mut lines);
--- a/crates/scheduler/src/node/leader/job_changes.rs
+++ b/crates/scheduler/src/node/leader/job_changes.rs
@@ -27,6 +27,7 @@
         if status == Phase::Done {
             self.count_done(id);
         }
+        self.withdraw_failures(id, status, now);
         self.stop_finished_job(id, now);
         self.adopt_unreadable_job(id, now);
         if known.record.is_open() {
@@ -48,6 +49,17 @@
         self.job_counters.count(JobMilestone::Done, spec);
     }
 
+    /// Withdraws the failures of a cancelled job from its machines: users cancel jobs that fail everywhere. The
+    /// failures of a job that is done were its machines' fault.
+    fn withdraw_failures(&mut self, id: &JobId, status: Phase, now: MonotonicTime) {
+        if status == Phase::Done {
+            return;
+        }
+        let Some(job_state) = self.job_states.get_mut(id) else { return };
+        let machines = job_state.failures.exonerate_machines();
+        self.exonerate_machines(id, &machines, now);
+    }
+
     fn job_ready(
         &mut self,
         job_cache: &JobCache,
--- a/crates/scheduler/src/node/leader/machine_health.rs
+++ b/crates/scheduler/src/node/leader/machine_health.rs
@@ -9,7 +9,7 @@
 use crate::autoscaler;
 use crate::jobs::JobState;
 use crate::partitions::Partitions;
-use crate::types::{Duration, JobId, MachineId, MonotonicTime, Zone};
+use crate::types::{Duration, JobId, MonotonicTime, Zone};
 use crate::workers::{Machine, MachineStatus, TaskAttempt};
 use pearford_heartbeat::LeaseRenewal;
 use pearford_recovery::LeaderAction;
@@ -22,11 +22,6 @@
 /// How long before a lease expires a machine may be returned, in seconds. An unreachable worker kills its
 /// tasks when its lease expires, so waiting for the last seconds has no benefit.
 const LEASE_MARGIN_S: f64 = 2.0;
-/// Number of consecutive failures of a job after which the job is assumed to be at fault, not its machines.
-pub(super) const JOB_FAULT_THRESHOLD: u32 = 4;
-/// Number of different jobs that must fail on a machine, without a task done in between, for the machine to
-/// count as faulty.
-const MACHINE_FAULT_THRESHOLD: usize = 2;
 /// Heartbeat intervals after most machines' heartbeats stopped during which missing heartbeats don't prove
 /// a machine lost, since the cause may be this node.
 const OUTAGE_GRACE_INTERVALS: f64 = 4.0;
@@ -214,27 +209,6 @@
             }
         }
     }
-
-    /// Records that a task of `job`, which has failed `failures` times in a row, failed on the machine. A
-    /// machine on which several jobs failed counts as faulty and is drained. Returns whether the machine is
-    /// draining.
-    pub(super) fn record_failed_job(&mut self, id: &MachineId, job: &JobId, failures: u32) -> bool {
-        if failures >= JOB_FAULT_THRESHOLD {
-            return false;
-        }
-        let Some(machine) = self.machines.get_mut(id) else { return false };
-        if !machine.failed_jobs.contains(job) && machine.failed_jobs.len() < MACHINE_FAULT_THRESHOLD {
-            machine.failed_jobs.push(job.clone());
-        }
-        if machine.failed_jobs.len() >= MACHINE_FAULT_THRESHOLD && !machine.draining {
-            tracing::warn!(
-                machine = %id,
-                "several jobs failed on this machine; draining it and returning it once it is empty"
-            );
-            machine.draining = true;
-        }
-        machine.draining
-    }
 }
 
 /// Begins the return of a machine that is lost or whose starts can't be stopped.
--- a/crates/scheduler/src/node/leader/machine_health/tests.rs
+++ b/crates/scheduler/src/node/leader/machine_health/tests.rs
@@ -1,7 +1,7 @@
 use super::super::liveness_rules::UNANSWERED_PROBES_LIMIT;
 use super::super::test_support::{heartbeat, leader};
 use super::*;
-use crate::wire::cloud::CloudRequest;
+use crate::types::MachineId;
 
 /// A leader that has received a heartbeat from one machine in each of `zones`: `m-0` in the first, and so on.
 fn cluster(zones: &[&str]) -> Leader {
@@ -106,22 +106,3 @@
     leader.return_lost_machines(&BTreeMap::new(), at);
     assert!(lost_machines(&leader).is_empty());
 }
-
-/// Guards against faulty machines that attract one task after the other because they are empty, and against
-/// jobs that fail everywhere and make good machines count as faulty.
-#[test]
-fn drains_machine_on_which_several_jobs_failed_but_not_for_one_job() {
-    let mut leader = cluster(&["z0", "z0"]);
-    let faulty = MachineId::from("m-0");
-    let job = |number: usize| JobId::from(format!("req-{number}").as_str());
-    assert!(!leader.record_failed_job(&faulty, &job(1), 1));
-    assert!(!leader.record_failed_job(&faulty, &job(1), 2), "the same job must not count twice");
-    assert!(
-        !leader.record_failed_job(&faulty, &job(2), JOB_FAULT_THRESHOLD),
-        "a job that fails everywhere must not count"
-    );
-    assert!(leader.record_failed_job(&faulty, &job(3), 1));
-    assert!(leader.machines.get(&faulty).expect("known machine").draining);
-    let call = leader.plan_returns(MonotonicTime::from_millis(9_000)).expect("machine to return");
-    assert!(matches!(&call.request, CloudRequest::Release { machines } if *machines == [faulty]));
-}
--- a/crates/scheduler/src/node/leader/mod.rs
+++ b/crates/scheduler/src/node/leader/mod.rs
@@ -14,6 +14,7 @@
 mod cloud_calls;
 mod commits;
 mod delegation;
+mod failure_attribution;
 #[cfg(any(test, feature = "simulation"))]
 mod fault_injection;
 mod heartbeats;
--- a/crates/scheduler/src/node/leader/scale_in.rs
+++ b/crates/scheduler/src/node/leader/scale_in.rs
@@ -23,7 +23,7 @@
         let idle_limit = Duration::from_secs_f64(self.settings.operator.idle_return_s);
         for machine in self.machines.iter_mut() {
             if should_return(machine, idle_limit, now) {
-                tracing::info!(machine = %machine.id, faulty = machine.draining, "machine is empty; returning it");
+                tracing::info!(machine = %machine.id, faulty = machine.is_draining(now), "machine is empty; returning it");
                 begin_return(machine, &mut self.partitions);
             }
         }
@@ -59,5 +59,5 @@
 fn should_return(machine: &Machine, idle_limit: Duration, now: MonotonicTime) -> bool {
     let empty = machine.assignments.is_empty() && machine.unknown_tasks.is_empty();
     let idle_for = machine.empty_since.map(|since| now.since(since)).unwrap_or_default();
-    machine.status == MachineStatus::Up && empty && (idle_for >= idle_limit || machine.draining)
+    machine.status == MachineStatus::Up && empty && (idle_for >= idle_limit || machine.is_draining(now))
 }
--- a/crates/scheduler/src/node/leader/status.rs
+++ b/crates/scheduler/src/node/leader/status.rs
@@ -52,12 +52,14 @@
     }
 
     /// Appends this leader's metrics, one per line.
-    pub(in crate::node) fn metrics(&self, lines: &mut Vec<String>) {
+    pub(in crate::node) fn metrics(&self, lines: &mut Vec<String>, now: MonotonicTime) {
         let assignments: usize = self.machines.iter().map(|machine| machine.assignments.len()).sum();
         let up = self.machines.iter().filter(|machine| machine.status == MachineStatus::Up).count();
         let waiting: u32 = self.job_states.values().map(JobState::waiting_count).sum();
         lines.push(format!("pearford_machines {}", self.machines.len()));
         lines.push(format!("pearford_machines_up {up}"));
+        let draining = self.machines.iter().filter(|machine| machine.is_draining(now)).count();
+        lines.push(format!("pearford_machines_draining {draining}"));
         lines.push(format!("pearford_ledger_entries {assignments}"));
         lines.push(format!("pearford_jobs_open {}", self.job_states.len()));
         lines.push(format!("pearford_tasks_waiting {waiting}"));
--- a/crates/scheduler/src/node/leader/task_outcomes.rs
+++ b/crates/scheduler/src/node/leader/task_outcomes.rs
@@ -3,7 +3,6 @@
 use super::Leader;
 use super::commits::PendingOutcome;
 use super::job_changes::progress_key;
-use super::machine_health::JOB_FAULT_THRESHOLD;
 use crate::assignments::{self, AssignmentState, CommitPriority, WriteVersion};
 use crate::gangs;
 use crate::jobs::{self, JobType, Record};
@@ -12,12 +11,6 @@
 use crate::workers::Outcome;
 use pearford_recovery::TaskExit;
 
-/// Number of consecutive failures of a job's tasks from which the job's next start is delayed.
-const FAILURES_BEFORE_DELAY: u32 = 3;
-/// Half of the first such delay, in milliseconds; each further failure doubles the delay.
-const FAILURE_DELAY_MS: u64 = 250;
-/// Upper bound on the number of doublings.
-const MAX_DELAY_DOUBLINGS: u32 = 7;
 /// Delay before the next start of a job after a machine refused one of its tasks.
 const REFUSAL_DELAY: Duration = Duration::from_millis(1000);
 /// How long no task is placed on a machine that had insufficient resources for one.
@@ -44,7 +37,7 @@
             job_state.unplace(task.index, id);
             return self.remove_assignment(id, task, now);
         }
-        job_state.consecutive_failures = 0;
+        job_state.failures.record_success();
         let kind = job_state.job.spec.kind.clone();
         if job_state.is_gang() {
             // The tasks of a gang complete together: if one is done, all are.
@@ -138,38 +131,15 @@
         let Some(job_state) = self.job_states.get_mut(&task.job) else { return };
         job_state.unplace(task.index, id);
         tracing::debug!(%task, machine = %id, ?outcome, "assignment ended before the task was done");
-        let mut failures = None;
         match outcome {
-            Outcome::Ended(TaskExit::Failed) => {
-                job_state.consecutive_failures += 1;
-                job_state.not_before = now + failure_delay(job_state.consecutive_failures);
-                failures = Some(job_state.consecutive_failures);
-                if job_state.consecutive_failures < JOB_FAULT_THRESHOLD {
-                    let kind = job_state.job.spec.kind.clone();
-                    let outcome = PlacementOutcome { machine: id.clone(), kind, success: false };
-                    self.broadcaster.add_outcome(outcome);
-                }
-            }
+            Outcome::Ended(TaskExit::Failed) => self.task_failed(id, &task.job, now),
             Outcome::Ended(TaskExit::Refused | TaskExit::InsufficientResources) => {
                 job_state.not_before = now + REFUSAL_DELAY;
             }
             _ => {}
         }
-        if gangs::is_broken(job_state) {
+        if self.job_states.get(&task.job).is_some_and(gangs::is_broken) {
             self.stop_job(&task.job, 0.0, now);
         }
-        if let Some(failures) = failures {
-            self.record_failed_job(id, &task.job, failures);
-        }
-    }
-}
-
-/// How long a job's next start is delayed after `failures` consecutive failures. A single failure is more
-/// likely the machine's fault; several may be the job's.
-fn failure_delay(failures: u32) -> Duration {
-    if failures < FAILURES_BEFORE_DELAY {
-        return Duration::from_millis(0);
     }
-    let doublings = (failures - (FAILURES_BEFORE_DELAY - 1)).min(MAX_DELAY_DOUBLINGS);
-    Duration::from_millis(FAILURE_DELAY_MS << doublings)
 }
--- a/crates/scheduler/src/simulation/cloud.rs
+++ b/crates/scheduler/src/simulation/cloud.rs
@@ -41,6 +41,8 @@
     claims: BTreeMap<String, Vec<MachineId>>,
     /// Whether every request is refused.
     pub outage: bool,
+    /// Whether the cloud has no machine left to rent.
+    pub is_full: bool,
     /// The largest number of machines per rent request; values below 4 mean 4.
     pub max_machines_per_request: u32,
     /// Injected fault: confirms a release but leaves the machine running.
@@ -87,7 +89,7 @@
                 if let Some(ids) = self.cloud.claims.get(&claim) {
                     return CloudReply::Rented(ids.clone());
                 }
-                if self.rng.random_bool(NO_CAPACITY_SHARE) {
+                if self.cloud.is_full || self.rng.random_bool(NO_CAPACITY_SHARE) {
                     return CloudReply::NoCapacity;
                 }
                 let number = number.min(self.cloud.max_machines_per_request.max(MIN_MACHINES_PER_REQUEST));
--- a/crates/scheduler/src/simulation/days/mod.rs
+++ b/crates/scheduler/src/simulation/days/mod.rs
@@ -6,6 +6,7 @@
 pub mod fields;
 pub mod isolated_leader;
 pub mod kinds;
+pub mod mistaken_jobs;
 pub mod ordinary;
 pub mod recovery;
 
--- a/crates/scheduler/src/simulation/mod.rs
+++ b/crates/scheduler/src/simulation/mod.rs
@@ -22,6 +22,7 @@
 mod golden;
 mod isolated_leader;
 mod links;
+mod mistaken_jobs;
 mod nodes;
 mod occurrences;
 mod odd_requests;
@@ -39,7 +40,7 @@
 pub use links::Host;
 pub use nodes::{Answered, Node};
 pub use rules::Start;
-pub use settings::job;
+pub use settings::{MISTAKEN_IMAGE, job};
 pub use users::{Stage, Submits, User};
 
 use crate::extension::Extension;
--- a/crates/scheduler/src/simulation/settings.rs
+++ b/crates/scheduler/src/simulation/settings.rs
@@ -36,6 +36,9 @@
         .expect("the test settings are valid")
 }
 
+/// The image of jobs that were submitted with a mistake: their tasks fail on every machine.
+pub const MISTAKEN_IMAGE: &str = "img-mistaken";
+
 /// Returns the submission of job `number` with `tasks` tasks. Callers change the fields that they need
 /// otherwise.
 pub fn job(number: usize, job_type: &str, tasks: u32) -> Value {
--- a/crates/scheduler/src/simulation/workers/tasks.rs
+++ b/crates/scheduler/src/simulation/workers/tasks.rs
@@ -1,7 +1,7 @@
 //! Tasks on the workers: the commands that start, stop and forget them, and their own state changes.
 
 use super::Worker;
-use crate::simulation::Simulation;
+use crate::simulation::{MISTAKEN_IMAGE, Simulation};
 use serde_json::{Value, json};
 
 /// How long a task takes to save its progress, in milliseconds.
@@ -118,6 +118,8 @@
 struct JobTraits {
     is_gang: bool,
     is_daemon: bool,
+    /// Whether the tasks fail on every machine.
+    is_mistaken: bool,
     /// How many tasks the job has.
     tasks: u64,
     /// How long a task runs, in milliseconds.
@@ -129,6 +131,7 @@
         Self {
             is_gang: body["shape"] == "ensemble",
             is_daemon: body["shape"] == "daemon",
+            is_mistaken: body["bundle"] == MISTAKEN_IMAGE,
             tasks: body["shards"].as_u64().unwrap_or(1),
             total_ms: (body["expected_s"].as_f64().unwrap_or(1.0) * 1000.0) as u64,
         }
@@ -250,6 +253,8 @@
         self.rules.check_start(now, &self.workers[machine], &task.name, &self.workers);
         if self.rules.task_done(&task.name) {
             State::Exited { cause: "done", kept: false }
+        } else if job.is_mistaken {
+            State::Exited { cause: "error", kept: false }
         } else if job.is_gang {
             State::Waiting { since: now }
         } else {
--- a/crates/scheduler/src/workers/heartbeats.rs
+++ b/crates/scheduler/src/workers/heartbeats.rs
@@ -13,9 +13,6 @@
 const MAX_EPOCHS_ENDED: u32 = 2;
 /// How long after it was sent a start may arrive a second time.
 const MAX_START_REPEAT_DELAY: Duration = Duration::from_millis(600_000);
-/// Maximum number of ended attempts that a worker has to keep because their starts may arrive again. A machine
-/// with more is drained.
-const MAX_KEPT_ATTEMPTS: usize = 256;
 
 /// A task that is proved not to be on its machine any more.
 #[derive(Debug)]
@@ -73,7 +70,7 @@
         self.update_sent_starts(heartbeat.worker_epoch, now);
         self.update_status(heartbeat, now);
         let reported_tasks = self.assigned_reported_tasks(heartbeat);
-        let restarts_allowed = !self.draining
+        let restarts_allowed = !self.is_draining(now)
             && self.spot_reclaim_at.is_none()
             && self.status == MachineStatus::Up
             && self.unknown_tasks.is_empty()
@@ -138,7 +135,7 @@
             }
         }
         self.reported_task_count = heartbeat.tasks.len() - kept;
-        self.draining |= kept > MAX_KEPT_ATTEMPTS;
+        self.kept_attempts = kept;
         assigned
     }
 
@@ -210,6 +207,7 @@
     pub fn is_settled(&self) -> bool {
         let reported = self.assignments.values().filter(|assignment| !assignment.is_unsent()).count();
         self.unknown_tasks.is_empty()
+            && !self.keeps_too_many_attempts()
             && reported == self.reported_task_count
             && self.assignments.values().all(is_assignment_settled)
     }
--- a/crates/scheduler/src/workers/machine.rs
+++ b/crates/scheduler/src/workers/machine.rs
@@ -1,6 +1,7 @@
 //! A machine and its worker: identity, status and health.
 
 use super::capacity::CapacitySums;
+use super::failed_jobs::FailedJobs;
 use super::images::ImageCache;
 use crate::assignments::{
     Assignment, AssignmentState, MAX_ASSIGNMENTS, MachineRecord, RecordedAssignment, WriteVersion,
@@ -36,6 +37,10 @@
     Unreachable,
 }
 
+/// Maximum number of ended attempts that a worker has to keep because their starts may arrive again. A machine
+/// with more is drained.
+const MAX_KEPT_ATTEMPTS: usize = 256;
+
 /// One attempt at a task.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TaskAttempt {
@@ -110,10 +115,8 @@
     pub last_known_epoch: WorkerEpoch,
     /// The write that makes each planned assignment durable.
     pub planned_writes: BTreeMap<TaskId, WriteVersion>,
-    /// Whether the machine accepts no new tasks and is returned once it is empty.
-    pub draining: bool,
-    /// Jobs of which a task has failed here since a task was last done here.
-    pub failed_jobs: Vec<JobId>,
+    /// Jobs whose failures count against the machine.
+    pub failed_jobs: FailedJobs,
     /// The job for which its free resources are held.
     pub capacity_hold: Option<CapacityHold>,
     /// Starts that were sent directly and got no answer, with the worker epoch that they name. They may still
@@ -123,6 +126,8 @@
     /// Starts that were sent directly in the current worker epoch, and when. Even one that was answered may
     /// arrive a second time, so the worker must not forget an attempt that has ended without being done.
     pub(super) sent_starts: BTreeMap<TaskAttempt, MonotonicTime>,
+    /// Number of ended attempts in its last heartbeat that are only kept because their start may arrive again.
+    pub(super) kept_attempts: usize,
     /// Number of tasks in its last heartbeat, without ended attempts that are only kept because their start
     /// may arrive again.
     pub(super) reported_task_count: usize,
@@ -164,11 +169,11 @@
             no_placement_before: MonotonicTime::default(),
             last_known_epoch: WorkerEpoch(0),
             planned_writes: BTreeMap::new(),
-            draining: false,
-            failed_jobs: Vec::new(),
+            failed_jobs: FailedJobs::default(),
             capacity_hold: None,
             unacknowledged_starts: BTreeMap::new(),
             sent_starts: BTreeMap::new(),
+            kept_attempts: 0,
             reported_task_count: 0,
             epochs_ended: 0,
         }
@@ -225,11 +230,22 @@
             || self.assignments.values().any(|assignment| assignment.state == AssignmentState::Direct)
     }
 
+    /// Whether the machine accepts no new tasks and is returned once it is empty: it counts as faulty, or its
+    /// worker keeps too many ended attempts. Both may end before the machine is empty.
+    pub fn is_draining(&self, now: MonotonicTime) -> bool {
+        self.failed_jobs.suspend(now) || self.keeps_too_many_attempts()
+    }
+
+    /// Whether its worker keeps too many ended attempts because their starts may arrive again.
+    pub(super) fn keeps_too_many_attempts(&self) -> bool {
+        self.kept_attempts > MAX_KEPT_ATTEMPTS
+    }
+
     /// Whether tasks may be placed on the machine.
     pub fn is_schedulable(&self, now: MonotonicTime) -> bool {
         self.status == MachineStatus::Up
             && self.has_reported()
-            && !self.draining
+            && !self.is_draining(now)
             && self.spot_reclaim_at.is_none()
             && self.unknown_tasks.is_empty()
             && now >= self.no_placement_before
--- a/crates/scheduler/src/workers/tests.rs
+++ b/crates/scheduler/src/workers/tests.rs
@@ -125,3 +125,26 @@
         [WorkerCommand::Stop { attempt: Attempt(6), .. }]
     ));
 }
+
+/// Guards against machines that accept no tasks any more because their worker once kept many ended attempts,
+/// whose starts may arrive again.
+#[test]
+fn machine_is_schedulable_again_once_its_worker_keeps_fewer_ended_attempts() {
+    let (mut machine, _) = machine_with(AssignmentState::Running);
+    machine.assignments.clear();
+    machine.process_heartbeat(&heartbeat(1, 1, 9, ""), TOKEN, &[], at_ms(1));
+    let mut ended = Vec::new();
+    for index in 0..300 {
+        let task = TaskId { job: "req-1".into(), index };
+        machine.sent_starts.insert(TaskAttempt::of(&task, Attempt(7)), at_ms(1));
+        ended.push(format!(r#"{{"shard":"{task}","try":7,"phase":"ended","cause":"stopped"}}"#));
+    }
+    machine.process_heartbeat(&heartbeat(1, 2, 9, &ended.join(",")), TOKEN, &[], at_ms(2));
+    assert!(!machine.is_schedulable(at_ms(2)));
+    assert!(
+        !machine.is_settled(),
+        "unchanged heartbeats must be processed, or the attempts are kept for ever"
+    );
+    machine.process_heartbeat(&heartbeat(1, 3, 9, &ended.join(",")), TOKEN, &[], at_ms(700_000));
+    assert!(machine.is_schedulable(at_ms(700_000)), "the starts can't arrive any more");
+}
