A worker keeps done attempts too while a copy of their start may arrive

Cause: a worker starts an attempt again that it has forgotten. The leader lets it forget no attempt whose start was sent directly in the present worker epoch, for ten minutes, but made an exception of done ones, as "harmless".

Evidence: a new fault of the simulation keeps a copy of each start that a worker carried out, and sends it once its task is present elsewhere or its job was cancelled longer than cancel_s ago; leaders crash and machines hang or lose everything, both back within a second.

Change: reconcile_unassigned treats done attempts as all others. A worker keeps at most 128 of them, the last started, which bounds its heartbeat; they are not counted for draining.

--- a/crates/scheduler/src/simulation/days/directed/mod.rs
+++ b/crates/scheduler/src/simulation/days/directed/mod.rs
@@ -22,7 +22,7 @@
 }
 
 /// All combinations.
-pub static ROWS: [Row; 15] = [
+pub static ROWS: [Row; 17] = [
     Row {
         name: "held words",
         day: scenarios::held_messages,
@@ -176,4 +176,28 @@
             });
         },
     },
+    Row {
+        name: "starts that arrive again",
+        day: scenarios::repeated_starts,
+        occurrences: &[
+            ("a copy of a start after its task moved", 8),
+            ("a copy of a start after its job was cancelled", 8),
+            ("a new leader", 8),
+        ],
+        without: |simulation| {
+            inject_fault(simulation, |controller, _| {
+                controller.disable_check(DisabledCheck::UnacknowledgedStarts);
+            });
+        },
+    },
+    Row {
+        name: "starts of done tasks that arrive again",
+        day: scenarios::repeated_starts_of_done_tasks,
+        occurrences: &[("a copy of a start after its job was cancelled", 8)],
+        without: |simulation| {
+            inject_fault(simulation, |controller, _| {
+                controller.disable_check(DisabledCheck::UnacknowledgedStarts);
+            });
+        },
+    },
 ];
--- a/crates/scheduler/src/simulation/days/directed/scenarios.rs
+++ b/crates/scheduler/src/simulation/days/directed/scenarios.rs
@@ -351,3 +351,76 @@
     schedule_fault(&mut simulation, 32_000, Fault::CancelNow(6, 0));
     simulation
 }
+
+/// Copies of start commands that were carried out and answered reach the machines again, after their task has
+/// moved or its job was cancelled. Machines hang and leaders crash, and both are back within a second. Urgent
+/// work displaces other work, so that tasks move.
+pub(super) fn repeated_starts(seed: u64) -> Simulation {
+    let mut simulation = Simulation::with_nodes(seed, NODES, 60);
+    simulation.keeps_images = true;
+    simulation.restart_delay_ms = 20..900;
+    schedule_fault(&mut simulation, 1, Fault::StartCopies(1.0));
+    for number in 0..16 {
+        let tasks = simulation.rng.random_range(2..6);
+        let mut body = job(number, ["array", "ensemble"][number % 2], tasks);
+        body["urgency"] = "idle".into();
+        body["expected_s"] = simulation.rng.random_range(4.0..60.0).into();
+        let submitted_at = simulation.rng_ms(500, 30_000);
+        let is_cancelled = simulation.rng.random_bool(0.4);
+        let cancel_at = is_cancelled.then(|| submitted_at + simulation.rng.random_range(5_000..40_000));
+        simulation.add_user(submitted_at, body, cancel_at);
+    }
+    for number in 16..24 {
+        let mut body = job(number, ["daemon", "array"][number % 2], 3);
+        body["urgency"] = "production".into();
+        body["expected_s"] = 10.0.into();
+        let submitted_at = simulation.rng_ms(30_000, 70_000);
+        let cancel_at = submitted_at + simulation.rng.random_range(5_000..30_000);
+        simulation.add_user(submitted_at, body, number.is_multiple_of(2).then_some(cancel_at));
+    }
+    // Replicas keep their machines from being returned before copies arrive there.
+    for number in 28..40 {
+        let mut body = job(number, "daemon", 1);
+        body["vcpus"] = 1.0.into();
+        body["preemptible"] = false.into();
+        simulation.add_user(500, body, None);
+    }
+    schedule_machine_returns(&mut simulation);
+    for _ in 0..3 {
+        let at = simulation.rng_ms(15_000, 35_000);
+        schedule_fault(&mut simulation, at, Fault::Leader(LeaderFault::Crashes, 0));
+    }
+    let full = Fault::CloudFull;
+    schedule_period(&mut simulation, 30_000, TROUBLE_ENDS, full(true), full(false));
+    simulation
+}
+
+/// Machines hang for less than a second, lose everything and are back at once, or are taken by the cloud.
+fn schedule_machine_returns(simulation: &mut Simulation) {
+    for number in 0..12 {
+        let at = simulation.rng_ms(10_000, 85_000);
+        let ms = simulation.rng_ms(100, 1_000);
+        let fault = [Fault::MachineHangs(ms), Fault::WorkerRestarts, Fault::SpotNotice][number % 3].clone();
+        schedule_fault(simulation, at, fault);
+    }
+}
+
+/// Copies of start commands of tasks that are done reach the machines again, long after their job was cancelled.
+/// Replicas keep the machines from being returned before.
+pub(super) fn repeated_starts_of_done_tasks(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed);
+    simulation.keeps_images = true;
+    schedule_fault(&mut simulation, 1, Fault::StartCopies(1.0));
+    for number in 0..8 {
+        let mut body = job(number, "daemon", 1);
+        body["vcpus"] = 4.5.into();
+        body["accelerators"] = 0.0.into();
+        body["preemptible"] = false.into();
+        simulation.add_user(500, body, None);
+    }
+    let mut body = job(20, "array", 60);
+    body["expected_s"] = 4.0.into();
+    simulation.add_user(12_000, body, Some(40_000));
+    schedule_machine_returns(&mut simulation);
+    simulation
+}
--- a/crates/scheduler/src/simulation/days/mistaken_jobs.rs
+++ b/crates/scheduler/src/simulation/days/mistaken_jobs.rs
@@ -1,7 +1,8 @@
 //! Days on which users submit jobs with a mistake, whose tasks fail on every machine, while the cloud has no
 //! machines left.
 
-use crate::simulation::{MISTAKEN_IMAGE, NODES, Simulation, job};
+use super::schedule_fault;
+use crate::simulation::{Fault, MISTAKEN_IMAGE, NODES, Simulation, job};
 use serde_json::Value;
 
 /// The number of machines, each with a replica of a service and room for further tasks.
@@ -32,8 +33,7 @@
     for number in 0..MACHINES {
         simulation.add_user(1_000, replica(number), None);
     }
-    simulation.run_until(SUBMITTED_AT - 10_000);
-    simulation.cloud.is_full = true;
+    schedule_fault(&mut simulation, SUBMITTED_AT - 10_000, Fault::CloudFull(true));
     for number in 0..mistakes.jobs {
         let mut body = job(100 + number, mistakes.job_type, mistakes.tasks);
         body["bundle"] = MISTAKEN_IMAGE.into();
--- a/crates/scheduler/src/simulation/events.rs
+++ b/crates/scheduler/src/simulation/events.rs
@@ -47,6 +47,8 @@
     OddRequest,
     /// A copy of a heartbeat is sent to a node.
     HeartbeatCopy { machine: usize, node: usize, body: String },
+    /// A copy of a command that a worker has carried out reaches it again, in this situation.
+    CommandCopy { machine: usize, body: String, situation: &'static str },
     /// A user sends its next request.
     User(usize),
     /// A node's answer reaches a user.
--- a/crates/scheduler/src/simulation/faults.rs
+++ b/crates/scheduler/src/simulation/faults.rs
@@ -27,6 +27,8 @@
     Cut { a: Host, b: Host, on: bool, late: bool },
     /// The cloud refuses every request, or serves them again.
     CloudOutage(bool),
+    /// The cloud has no machine left to rent, or has some again.
+    CloudFull(bool),
     /// Holds back messages from `a` to `b`, in this direction only, and delivers them in order when the fault
     /// ends.
     Hold { a: Host, b: Host, on: bool },
@@ -38,6 +40,9 @@
     LateHeartbeats(f64),
     /// This share of transactions is carried out immediately, but the answer is lost.
     LostStoreAnswers(f64),
+    /// A copy of this share of the start commands that a worker has carried out and answered arrives once their
+    /// task has moved to another machine, and once its job was cancelled longer than `cancel_s` ago.
+    StartCopies(f64),
     /// A copy of this share of the workers' heartbeats is kept until there is a new leader, and sent then.
     HeartbeatCopiesForNextLeader(f64),
     /// The key-value store takes up to this time for an answer.
@@ -60,6 +65,8 @@
     FastBoots(bool),
     /// A machine stops, and the cloud lists it as failed.
     MachineDies,
+    /// A machine's worker loses all tasks and what it knows, and begins its next epoch immediately.
+    WorkerRestarts,
     /// A machine hangs for this time.
     MachineHangs(u64),
     /// Answers and direct commands to a machine are lost for this time, while its heartbeats arrive.
@@ -96,6 +103,10 @@
     pub(super) lost_store_answers: f64,
     /// The share of heartbeats whose copy is kept for the next leader.
     pub(super) copies_for_next_leader: f64,
+    /// The share of start commands of which a copy is kept.
+    pub(super) start_copies: f64,
+    /// Copies of start commands that have not been sent yet.
+    pub(super) kept_starts: Vec<StartCopy>,
     /// Heartbeats kept for the next leader.
     pub(super) kept_copies: Vec<KeptCopy>,
     pub(super) fast_boots: bool,
@@ -116,6 +127,17 @@
     pub(super) body: String,
 }
 
+/// A copy of a start command that a worker has carried out.
+#[derive(Debug, Clone)]
+pub(super) struct StartCopy {
+    pub(super) machine: usize,
+    pub(super) body: String,
+    /// The task that it starts.
+    pub(super) task: String,
+    /// Whether the copy has been sent because the task had moved.
+    pub(super) sent_after_move: bool,
+}
+
 impl Simulation {
     /// Begins or ends a fault.
     pub(super) fn apply_fault(&mut self, fault: Fault) {
@@ -137,8 +159,10 @@
             Fault::LateWrites(share) => self.faults.late_writes = share,
             Fault::LostStoreAnswers(share) => self.faults.lost_store_answers = share,
             Fault::LateHeartbeats(share) => self.faults.late_heartbeats = share,
+            Fault::StartCopies(share) => self.faults.start_copies = share,
             Fault::HeartbeatCopiesForNextLeader(share) => self.faults.copies_for_next_leader = share,
             Fault::CloudOutage(on) => self.cloud.outage = on,
+            Fault::CloudFull(on) => self.cloud.is_full = on,
             Fault::FastBoots(on) => self.faults.fast_boots = on,
             Fault::CancelNow(count, hang_ms) => self.cancel_now(count, hang_ms),
             Fault::CancelAtEnd(share) => self.faults.cancel_at_end = share,
@@ -151,6 +175,7 @@
             | Fault::AllHeartbeatsLost(_)
             | Fault::MachineDies
             | Fault::MachineHangs(_)
+            | Fault::WorkerRestarts
             | Fault::CommandsLost(_)
             | Fault::SpotNotice => self.apply_machine_fault(&fault),
         }
@@ -170,6 +195,7 @@
             Fault::HeartbeatsLost(ms) => worker.heartbeats_lost_until = now + ms,
             Fault::CommandsLost(ms) => worker.commands_lost_until = now + ms,
             Fault::MachineHangs(ms) => worker.hung_until = now + ms,
+            Fault::WorkerRestarts => worker.restart(now),
             Fault::SpotNotice => worker.taken_at = Some(now + SPOT_NOTICE_MS),
             Fault::MachineDies => {
                 self.end_machine(machine);
--- a/crates/scheduler/src/simulation/mod.rs
+++ b/crates/scheduler/src/simulation/mod.rs
@@ -208,6 +208,9 @@
             Event::HeartbeatCopy { machine, node, body } => {
                 self.send_heartbeat(machine, node, Requester::Dropped, body);
             }
+            Event::CommandCopy { machine, body, situation } => {
+                self.receive_command_copy(machine, body, situation);
+            }
             Event::CloseRead(close_read) => self.close_read(close_read),
             Event::CloseReadAnswer { close_read, before, node, status, body } => {
                 self.close_read_answer(close_read, &before, node, status, &body);
--- a/crates/scheduler/src/simulation/nodes.rs
+++ b/crates/scheduler/src/simulation/nodes.rs
@@ -164,6 +164,7 @@
         self.after(TICK_MS + jitter, Event::Tick { node, incarnation });
         self.record_leader();
         self.release_copies();
+        self.release_start_copies();
         self.step(node, Input::Tick);
     }
 
--- a/crates/scheduler/src/simulation/rules.rs
+++ b/crates/scheduler/src/simulation/rules.rs
@@ -150,7 +150,8 @@
         seen
     }
 
-    fn cancelled_too_long_ago(&self, job: &str, now: u64) -> bool {
+    /// Whether the job was cancelled so long ago that none of its tasks may be on a machine.
+    pub(super) fn cancelled_too_long_ago(&self, job: &str, now: u64) -> bool {
         let cancelled_at = self.histories.get(job).and_then(|history| history.cancelled_at);
         cancelled_at.is_some_and(|at| now > at + self.cancel_ms)
     }
--- a/crates/scheduler/src/simulation/workers/mod.rs
+++ b/crates/scheduler/src/simulation/workers/mod.rs
@@ -1,5 +1,6 @@
 //! The simulated workers. They are written from the protocol alone and read and write plain JSON, without the
-//! controller's message types. [`tasks`] simulates tasks, [`copies`] sends copies of heartbeats.
+//! controller's message types. [`tasks`] simulates tasks, [`copies`] sends copies of heartbeats and of start
+//! commands.
 
 mod copies;
 mod tasks;
@@ -168,6 +169,18 @@
         }
     }
 
+    /// Begins a new epoch without tasks, images or a known fencing token.
+    pub(super) fn restart(&mut self, now: u64) {
+        self.worker_epoch += 1;
+        self.epoch_began = now;
+        self.serial = 0;
+        self.fencing_token = 0;
+        self.tasks.clear();
+        self.images.clear();
+        self.in_flight = None;
+        self.next_heartbeat = now;
+    }
+
     /// Whether the worker can receive a node's answer: the machine is up, does not hang and loses no answers.
     fn can_receive(&self, now: u64) -> bool {
         self.up && self.hung_until <= now && self.commands_lost_until <= now
@@ -344,6 +357,21 @@
         }
     }
 
+    /// Carries out a direct command if its token and epoch allow it. Returns whether they do.
+    fn execute_command(&mut self, machine: usize, body: &str) -> bool {
+        let now = self.now;
+        let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let fencing_token = value["fence"].as_u64().unwrap_or(0);
+        let worker = &mut self.workers[machine];
+        let accepted =
+            fencing_token >= worker.fencing_token && value["tenure"].as_u64() == Some(worker.worker_epoch);
+        if accepted {
+            worker.accept_token(fencing_token, now);
+            self.run_commands(machine, &value["orders"]);
+        }
+        accepted
+    }
+
     /// Handles a direct command for the machine at an address. A machine that hangs handles it after the
     /// hang.
     pub(super) fn receive_command(&mut self, caller: Caller, addr: &str, body: &str) {
@@ -359,16 +387,13 @@
             let event = Event::Command { caller, addr: addr.to_string(), body: body.to_string() };
             return self.at(hung_until, event);
         }
-        let value: Value = serde_json::from_str(body).unwrap_or(Value::Null);
-        let fencing_token = value["fence"].as_u64().unwrap_or(0);
-        let accepted =
-            fencing_token >= worker.fencing_token && value["tenure"].as_u64() == Some(worker.worker_epoch);
+        let heartbeats_lost = worker.heartbeats_lost_until > now;
+        let accepted = self.execute_command(machine, body);
         if accepted {
-            if worker.heartbeats_lost_until > now && body.contains("\"start\"") {
+            if heartbeats_lost && body.contains("\"start\"") {
                 self.count("a direct start at a machine whose heartbeats are lost");
             }
-            self.workers[machine].accept_token(fencing_token, now);
-            self.run_commands(machine, &value["orders"]);
+            self.copy_starts(machine, body);
         }
         let status = if accepted { 200 } else { 409 };
         let body = self.workers[machine].heartbeat(now).to_string().into_bytes();
--- a/crates/scheduler/src/simulation/workers/tasks.rs
+++ b/crates/scheduler/src/simulation/workers/tasks.rs
@@ -110,7 +110,8 @@
     }
 }
 
-fn job_of(task: &str) -> &str {
+/// Returns the ID of a task's job.
+pub(super) fn job_of(task: &str) -> &str {
     task.split('/').next().unwrap_or_default()
 }
 
--- a/crates/scheduler/src/wire/workers.rs
+++ b/crates/scheduler/src/wire/workers.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Whether the task is done.
+    pub fn is_done(&self) -> bool {
+        self.reported_state() == ReportedState::Ended(TaskExit::Done)
+    }
+
     fn exit(&self) -> TaskExit {
         match self.cause {
             Some(Cause::Done) => TaskExit::Done,
--- a/crates/scheduler/src/workers/heartbeats.rs
+++ b/crates/scheduler/src/workers/heartbeats.rs
@@ -23,6 +23,10 @@
     pub outcome: Outcome,
 }
 
+/// Maximum number of done attempts that a worker has to keep because their starts may arrive again. Of more, it
+/// forgets those that were started first. Bounds the size of heartbeats.
+const MAX_KEPT_DONE_ATTEMPTS: usize = 128;
+
 /// What a heartbeat changed.
 #[derive(Debug, Default)]
 pub struct HeartbeatOutcome {
@@ -68,6 +72,7 @@
             return outcome;
         }
         self.update_sent_starts(heartbeat.worker_epoch, now);
+        self.limit_kept_done_attempts(heartbeat);
         self.update_status(heartbeat, now);
         let reported_tasks = self.assigned_reported_tasks(heartbeat);
         let restarts_allowed = !self.is_draining(now)
@@ -97,6 +102,25 @@
         self.sent_starts.retain(|_, sent_at| now.since(*sent_at) < MAX_START_REPEAT_DELAY);
     }
 
+    /// Removes the oldest sent starts of done attempts that the worker would have to keep beyond the limit.
+    fn limit_kept_done_attempts(&mut self, heartbeat: &Heartbeat) {
+        let kept = heartbeat.tasks.iter().filter_map(|reported| {
+            let task_attempt = TaskAttempt::of(&reported.task()?, reported.attempt);
+            let sent_at = *self.sent_starts.get(&task_attempt)?;
+            let is_kept = reported.is_done() && !self.is_assigned(&task_attempt.task, reported);
+            is_kept.then_some((sent_at, task_attempt))
+        });
+        let mut kept: Vec<(MonotonicTime, TaskAttempt)> = kept.collect();
+        let excess = kept.len().saturating_sub(MAX_KEPT_DONE_ATTEMPTS);
+        if excess == 0 {
+            return;
+        }
+        kept.sort();
+        for (_, task_attempt) in kept.iter().take(excess) {
+            self.sent_starts.remove(task_attempt);
+        }
+    }
+
     fn update_status(&mut self, heartbeat: &Heartbeat, now: MonotonicTime) {
         self.worker_epoch = heartbeat.worker_epoch;
         self.serial = heartbeat.serial;
@@ -119,6 +143,7 @@
     ) -> BTreeMap<TaskId, &'a ReportedTask> {
         let mut assigned = BTreeMap::new();
         let mut kept = 0;
+        let mut kept_done = 0;
         self.unknown_tasks.clear();
         for reported in &heartbeat.tasks {
             let Some(task) = reported.task() else { continue };
@@ -130,11 +155,12 @@
                 Decision::Stop => {
                     self.unknown_tasks.insert(task);
                 }
+                Decision::Unproved if reported.is_done() => kept_done += 1,
                 Decision::Unproved => kept += 1,
                 _ => {}
             }
         }
-        self.reported_task_count = heartbeat.tasks.len() - kept;
+        self.reported_task_count = heartbeat.tasks.len() - kept - kept_done;
         self.kept_attempts = kept;
         assigned
     }
@@ -147,13 +173,9 @@
     /// Decides on a reported attempt that has no assignment.
     pub(super) fn reconcile_unassigned(&self, task: &TaskId, reported: &ReportedTask) -> Decision {
         let task_attempt = TaskAttempt::of(task, reported.attempt);
-        let reported_state = reported.reported_state();
-        // If the start of a task that is done arrives again, the worker fetches the image and the task ends at
-        // once, which is harmless. A start without an answer may still arrive in any case.
-        let is_done = reported_state == ReportedState::Ended(TaskExit::Done);
-        let may_repeat = !is_done && self.sent_starts.contains_key(&task_attempt);
-        let start_may_arrive = may_repeat || self.unacknowledged_starts.contains_key(&task_attempt);
-        reconcile(&Observation::unrecorded(reported_state, start_may_arrive))
+        let start_may_arrive = self.sent_starts.contains_key(&task_attempt)
+            || self.unacknowledged_starts.contains_key(&task_attempt);
+        reconcile(&Observation::unrecorded(reported.reported_state(), start_may_arrive))
     }
 
     fn reconcile_assignment(
--- a/crates/scheduler/src/workers/machine.rs
+++ b/crates/scheduler/src/workers/machine.rs
@@ -37,7 +37,7 @@
     Unreachable,
 }
 
-/// Maximum number of ended attempts that a worker has to keep because their starts may arrive again. A machine
+/// Maximum number of ended attempts, without done ones, that a worker has to keep because their starts may arrive again. A machine
 /// with more is drained.
 const MAX_KEPT_ATTEMPTS: usize = 256;
 
@@ -124,9 +124,11 @@
     /// and the worker must not forget the attempt if it has ended, or it would start it again.
     pub unacknowledged_starts: BTreeMap<TaskAttempt, WorkerEpoch>,
     /// Starts that were sent directly in the current worker epoch, and when. Even one that was answered may
-    /// arrive a second time, so the worker must not forget an attempt that has ended without being done.
+    /// arrive a second time, so the worker must not forget an attempt that has ended: it would start again, even
+    /// if the task is done, and after its job was cancelled.
     pub(super) sent_starts: BTreeMap<TaskAttempt, MonotonicTime>,
-    /// Number of ended attempts in its last heartbeat that are only kept because their start may arrive again.
+    /// Number of ended attempts in its last heartbeat, without done ones, that are only kept because their start
+    /// may arrive again.
     pub(super) kept_attempts: usize,
     /// Number of tasks in its last heartbeat, without ended attempts that are only kept because their start
     /// may arrive again.
--- a/crates/scheduler/src/workers/tests.rs
+++ b/crates/scheduler/src/workers/tests.rs
@@ -148,3 +148,54 @@
     machine.process_heartbeat(&heartbeat(1, 3, 9, &ended.join(",")), TOKEN, &[], at_ms(700_000));
     assert!(machine.is_schedulable(at_ms(700_000)), "the starts can't arrive any more");
 }
+
+/// A heartbeat element for a task that is done.
+fn done(task: &TaskId) -> String {
+    format!(r#"{{"shard":"{task}","try":7,"phase":"ended","cause":"done"}}"#)
+}
+
+/// Guards against a done task that starts again after its job was cancelled: a copy of its start arrives once the
+/// worker has forgotten it.
+#[test]
+fn done_task_is_not_forgotten_while_its_answered_start_may_arrive_again() {
+    let (mut machine, task) = machine_with(AssignmentState::Ready);
+    machine.process_heartbeat(&heartbeat(1, 5, 9, ""), TOKEN, &[], at_ms(1));
+    let direct = machine.direct_commands(true, at_ms(1));
+    let answer = DirectAnswer::Executed { worker_epoch: WorkerEpoch(1), serial: 6 };
+    machine.direct_starts_answered(direct.starts, WorkerEpoch(1), answer);
+    let ended = |epoch, serial| heartbeat(epoch, serial, 9, &done(&task));
+    assert_eq!(machine.process_heartbeat(&ended(1, 7), TOKEN, &[], at_ms(4)).done.len(), 1);
+    machine.assignments.remove(&task);
+    let mut forgets = |epoch, serial, at| {
+        let received = ended(epoch, serial);
+        machine.process_heartbeat(&received, TOKEN, &[], at);
+        machine.commands(&received, true, |_| false, true).len()
+    };
+    assert_eq!(forgets(1, 8, at_ms(100_000)), 0);
+    assert_eq!(forgets(1, 9, at_ms(700_000)), 1, "too late for a copy");
+    assert_eq!(forgets(2, 1, at_ms(700_001)), 1, "a copy names the epoch before");
+}
+
+/// Guards against heartbeats that grow without bound on machines that do many short tasks, and against such
+/// machines being drained.
+#[test]
+fn worker_keeps_a_bounded_number_of_done_tasks_and_is_not_drained() {
+    let (mut machine, _) = machine_with(AssignmentState::Running);
+    machine.assignments.clear();
+    machine.process_heartbeat(&heartbeat(1, 1, 9, ""), TOKEN, &[], at_ms(1));
+    let tasks: Vec<TaskId> = (0..300).map(|index| TaskId { job: "req-1".into(), index }).collect();
+    for (sent_at, task) in tasks.iter().enumerate() {
+        machine.sent_starts.insert(TaskAttempt::of(task, Attempt(7)), at_ms(1 + sent_at as u64));
+    }
+    let reported: Vec<String> = tasks.iter().map(done).collect();
+    let received = heartbeat(1, 2, 9, &reported.join(","));
+    machine.process_heartbeat(&received, TOKEN, &[], at_ms(1_000));
+    assert!(machine.is_schedulable(at_ms(1_000)));
+    let commands = machine.commands(&received, true, |_| false, true);
+    let forgotten = |command: &WorkerCommand| match command {
+        WorkerCommand::Forget { task, .. } => task.index,
+        other => panic!("unexpected command: {other:?}"),
+    };
+    let forgotten: Vec<u32> = commands.iter().map(forgotten).collect();
+    assert_eq!(forgotten, (0..172).collect::<Vec<u32>>(), "the tasks that were started first");
+}
