--- a/crates/scheduler/src/jobs/failure_history.rs
+++ b/crates/scheduler/src/jobs/failure_history.rs
@@ -3,7 +3,7 @@
 use crate::types::MachineId;
 
 /// Number of consecutive failures of a job from which on further ones don't count against their machines.
-pub const JOB_FAULT_THRESHOLD: u32 = 4;
+const JOB_FAULT_THRESHOLD: u32 = 4;
 
 /// What a failure of a task is attributed to.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/scheduler/src/node/leader/failure_attribution.rs
+++ b/crates/scheduler/src/node/leader/failure_attribution.rs
@@ -43,9 +43,9 @@
     pub(super) fn exonerate_machines(&mut self, job: &JobId, machines: &[MachineId], now: MonotonicTime) {
         for id in machines {
             let Some(machine) = self.machines.get_mut(id) else { continue };
-            let was_suspended = machine.failed_jobs.suspend(now);
+            let was_faulty = machine.failed_jobs.is_faulty(now);
             machine.failed_jobs.remove(job);
-            if was_suspended && !machine.failed_jobs.suspend(now) {
+            if was_faulty && !machine.failed_jobs.is_faulty(now) {
                 tracing::info!(machine = %id, "the machine no longer counts as faulty");
                 self.capacity_version += 1;
             }
@@ -55,9 +55,9 @@
     /// Counts the failure against the machine. A machine on which several jobs failed counts as faulty.
     fn blame_machine(&mut self, id: &MachineId, job: &JobId, now: MonotonicTime) {
         let Some(machine) = self.machines.get_mut(id) else { return };
-        let was_suspended = machine.failed_jobs.suspend(now);
+        let was_faulty = machine.failed_jobs.is_faulty(now);
         machine.failed_jobs.record(job, now);
-        if !was_suspended && machine.failed_jobs.suspend(now) {
+        if !was_faulty && machine.failed_jobs.is_faulty(now) {
             tracing::warn!(
                 machine = %id,
                 "several jobs failed on this machine; draining it and returning it once it is empty"
--- a/crates/scheduler/src/workers/failed_jobs.rs
+++ b/crates/scheduler/src/workers/failed_jobs.rs
@@ -1,4 +1,4 @@
-//! The failures that count against a machine, and whether it is suspended as faulty because of them.
+//! The failures that count against a machine, and whether it is faulty because of them.
 
 use crate::types::{Duration, JobId, MonotonicTime};
 
@@ -7,9 +7,9 @@
 const MACHINE_FAULT_THRESHOLD: usize = 2;
 /// Maximum number of jobs that are remembered for a machine.
 const MAX_FAILED_JOBS: usize = 8;
-/// How long a faulty machine accepts no new tasks after its last failure. Then it is tried again, as the jobs
-/// may have been at fault: a job must not wait for 90 s while a machine has room for it.
-const SUSPENSION: Duration = Duration::from_millis(60_000);
+/// How long a machine counts as faulty after its last failure. Then it is tried again, as the jobs may have been
+/// at fault: a job must not wait for 90 s while a machine has room for it.
+const FAULTY_FOR: Duration = Duration::from_millis(60_000);
 
 /// Jobs whose failures count against a machine since a task was last done there.
 #[derive(Debug, Default)]
@@ -42,8 +42,8 @@
     }
 
     /// Whether the machine counts as faulty and accepts no new tasks.
-    pub fn suspend(&self, now: MonotonicTime) -> bool {
-        self.jobs.len() >= MACHINE_FAULT_THRESHOLD && now.since(self.last_failure_at) < SUSPENSION
+    pub fn is_faulty(&self, now: MonotonicTime) -> bool {
+        self.jobs.len() >= MACHINE_FAULT_THRESHOLD && now.since(self.last_failure_at) < FAULTY_FOR
     }
 }
 
--- a/crates/scheduler/src/workers/machine.rs
+++ b/crates/scheduler/src/workers/machine.rs
@@ -37,8 +37,8 @@
     Unreachable,
 }
 
-/// Maximum number of ended attempts, without done ones, that a worker has to keep because their starts may arrive again. A machine
-/// with more is drained.
+/// Maximum number of ended attempts, without done ones, that a worker has to keep because their starts may arrive
+/// again. A machine with more is drained.
 const MAX_KEPT_ATTEMPTS: usize = 256;
 
 /// One attempt at a task.
@@ -235,7 +235,7 @@
     /// Whether the machine accepts no new tasks and is returned once it is empty: it counts as faulty, or its
     /// worker keeps too many ended attempts. Both may end before the machine is empty.
     pub fn is_draining(&self, now: MonotonicTime) -> bool {
-        self.failed_jobs.suspend(now) || self.keeps_too_many_attempts()
+        self.failed_jobs.is_faulty(now) || self.keeps_too_many_attempts()
     }
 
     /// Whether its worker keeps too many ended attempts because their starts may arrive again.
